--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,294 @@
+//! HTTP/1.1 messages: an incremental parser and writers for both sides.
+//!
+//! The project parses its own HTTP (house style). Only what the protocols use
+//! is accepted: bodies by `Content-Length`, or chunked answers from a server.
+
+/// Longest head of a message. Guards memory against a head that never ends.
+pub const HEAD_LIMIT: usize = 8 * 1024;
+
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HttpError {
+    #[error("malformed message")]
+    Malformed,
+    #[error("body over the limit")]
+    TooLarge,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    Get,
+    Post,
+    Delete,
+    Other,
+}
+
+impl Method {
+    pub fn name(self) -> &'static str {
+        match self {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Delete => "DELETE",
+            Method::Other => "OTHER",
+        }
+    }
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Request {
+    pub method: Method,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+struct Head {
+    first: String,
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    size: usize,
+}
+
+fn head(buf: &[u8]) -> Result<Option<Head>, HttpError> {
+    let Some(end) = buf.windows(4).take(HEAD_LIMIT).position(|w| w == b"\r\n\r\n") else {
+        return if buf.len() > HEAD_LIMIT { Err(HttpError::Malformed) } else { Ok(None) };
+    };
+    let text = std::str::from_utf8(&buf[..end]).map_err(|_| HttpError::Malformed)?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next().ok_or(HttpError::Malformed)?.to_string();
+    let mut h = Head { first, length: None, chunked: false, close: false, size: end + 4 };
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(HttpError::Malformed)?;
+        if name.is_empty() || name.bytes().any(|b| b.is_ascii_whitespace()) {
+            return Err(HttpError::Malformed);
+        }
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("content-length") {
+            if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                return Err(HttpError::Malformed);
+            }
+            let n: usize = value.parse().map_err(|_| HttpError::TooLarge)?;
+            // Two lengths that differ would let two readers disagree on where
+            // the next message begins.
+            if h.length.is_some_and(|old| old != n) {
+                return Err(HttpError::Malformed);
+            }
+            h.length = Some(n);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            h.chunked = value.eq_ignore_ascii_case("chunked");
+            if !h.chunked {
+                return Err(HttpError::Malformed);
+            }
+        } else if name.eq_ignore_ascii_case("connection") {
+            h.close |= value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"));
+        }
+    }
+    if h.chunked && h.length.is_some() {
+        return Err(HttpError::Malformed);
+    }
+    Ok(Some(h))
+}
+
+/// The body from `start`, and where the message ends.
+fn body(buf: &[u8], h: &Head, limit: usize) -> Result<Option<(Vec<u8>, usize)>, HttpError> {
+    if !h.chunked {
+        let n = h.length.unwrap_or(0);
+        if n > limit {
+            return Err(HttpError::TooLarge);
+        }
+        let end = h.size + n;
+        return Ok(buf.get(h.size..end).map(|b| (b.to_vec(), end)));
+    }
+    let mut out = Vec::new();
+    let mut at = h.size;
+    loop {
+        let rest = buf.get(at..).unwrap_or(&[]);
+        let Some(line) = rest.windows(2).take(64).position(|w| w == b"\r\n") else {
+            return if rest.len() > 64 { Err(HttpError::Malformed) } else { Ok(None) };
+        };
+        let text = std::str::from_utf8(&rest[..line]).map_err(|_| HttpError::Malformed)?;
+        let text = text.split(';').next().unwrap_or("").trim();
+        let n = usize::from_str_radix(text, 16).map_err(|_| HttpError::Malformed)?;
+        if n > limit || out.len() + n > limit {
+            return Err(HttpError::TooLarge);
+        }
+        let start = line + 2;
+        let Some(chunk) = rest.get(start..start + n + 2) else { return Ok(None) };
+        if &chunk[n..] != b"\r\n" {
+            return Err(HttpError::Malformed);
+        }
+        out.extend_from_slice(&chunk[..n]);
+        at += start + n + 2;
+        if n == 0 {
+            return Ok(Some((out, at)));
+        }
+    }
+}
+
+/// Takes one whole request off the front of `buf`.
+pub fn take_request(buf: &mut Vec<u8>, limit: usize) -> Result<Option<Request>, HttpError> {
+    let Some(h) = head(buf)? else { return Ok(None) };
+    let mut words = h.first.split(' ');
+    let (Some(method), Some(path), Some(version), None) =
+        (words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(HttpError::Malformed);
+    };
+    if !(version == "HTTP/1.1" || version == "HTTP/1.0")
+        || !path.starts_with('/')
+        || method.is_empty()
+    {
+        return Err(HttpError::Malformed);
+    }
+    let method = match method {
+        "GET" => Method::Get,
+        "POST" => Method::Post,
+        "DELETE" => Method::Delete,
+        _ => Method::Other,
+    };
+    let path = path.to_string();
+    let close = h.close || version == "HTTP/1.0";
+    let Some((body, end)) = body(buf, &h, limit)? else { return Ok(None) };
+    buf.drain(..end);
+    Ok(Some(Request { method, path, body, close }))
+}
+
+/// Takes one whole response off the front of `buf`.
+pub fn take_response(buf: &mut Vec<u8>, limit: usize) -> Result<Option<Response>, HttpError> {
+    let Some(h) = head(buf)? else { return Ok(None) };
+    let mut words = h.first.splitn(3, ' ');
+    let version = words.next().unwrap_or("");
+    let status: u16 = words
+        .next()
+        .filter(|s| s.len() == 3)
+        .and_then(|s| s.parse().ok())
+        .ok_or(HttpError::Malformed)?;
+    if !version.starts_with("HTTP/1.") || status < 200 {
+        return Err(HttpError::Malformed);
+    }
+    let Some((body, end)) = body(buf, &h, limit)? else { return Ok(None) };
+    buf.drain(..end);
+    Ok(Some(Response { status, body, close: h.close || version == "HTTP/1.0" }))
+}
+
+pub fn write_request(out: &mut Vec<u8>, method: Method, path: &str, host: &str, body: &[u8]) {
+    let head = format!(
+        "{} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n\r\n",
+        method.name(),
+        body.len()
+    );
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+pub fn write_response(
+    out: &mut Vec<u8>,
+    status: u16,
+    retry_after: Option<u32>,
+    close: bool,
+    body: &[u8],
+) {
+    let mut head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n",
+        reason(status),
+        body.len()
+    );
+    if let Some(s) = retry_after {
+        head.push_str(&format!("Retry-After: {s}\r\n"));
+    }
+    if close {
+        head.push_str("Connection: close\r\n");
+    }
+    head.push_str("\r\n");
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{rngs::StdRng, Rng, SeedableRng};
+
+    #[test]
+    fn a_request_may_come_in_any_pieces() {
+        let mut whole = Vec::new();
+        write_request(&mut whole, Method::Post, "/x?a=1", "h", b"body");
+        for cut in 0..whole.len() {
+            let mut buf = whole[..cut].to_vec();
+            assert_eq!(take_request(&mut buf, 100), Ok(None), "cut at {cut}");
+            buf.extend_from_slice(&whole[cut..]);
+            let r = take_request(&mut buf, 100).expect("sound").expect("whole");
+            assert_eq!(
+                (r.method, r.path.as_str(), r.body.as_slice()),
+                (Method::Post, "/x?a=1", &b"body"[..])
+            );
+            assert!(buf.is_empty());
+        }
+    }
+
+    #[test]
+    fn limits_and_malformed_messages_are_told_apart() {
+        let case = |s: &str| take_request(&mut s.as_bytes().to_vec(), 10);
+        assert_eq!(case("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"), Err(HttpError::TooLarge));
+        for bad in [
+            "GET /\r\n\r\n",
+            "GET x HTTP/1.1\r\n\r\n",
+            "GET / HTTP/2\r\n\r\n",
+            "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+            "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        ] {
+            assert_eq!(case(bad), Err(HttpError::Malformed), "{bad}");
+        }
+        assert_eq!(case(&"x".repeat(HEAD_LIMIT + 5)), Err(HttpError::Malformed));
+    }
+
+    #[test]
+    fn answers_may_be_chunked() {
+        let mut buf = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n".to_vec();
+        let r = take_response(&mut buf, 100).expect("sound").expect("whole");
+        assert_eq!(r.body, b"abcde");
+    }
+
+    #[test]
+    fn no_message_ends_the_process() {
+        let mut rng = StdRng::seed_from_u64(11);
+        let mut good = Vec::new();
+        write_request(&mut good, Method::Get, "/api/jobs/job-1", "h", b"0123456789");
+        good.extend_from_slice(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        );
+        for _ in 0..20_000 {
+            let mut buf = good[rng.gen_range(0..good.len())..].to_vec();
+            for _ in 0..rng.gen_range(0..4) {
+                let at = rng.gen_range(0..buf.len());
+                buf[at] = rng.gen();
+            }
+            let _ = take_request(&mut buf.clone(), 64);
+            let _ = take_response(&mut buf, 64);
+        }
+    }
+}
--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,572 @@
+//! The users' interface: submit, query and cancel, on any node.
+//!
+//! A job is accepted by the committed creation of its key, nothing else. Final
+//! states never change, so they are answered from our copy; everything else
+//! waits for a copy newer than the question, or is answered 503 at once.
+
+use crate::jobs::{self, Freshness, JobBook, JobKind, JobSpec, JobState, Urgency};
+use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Txn};
+use crate::node::{Out, Tag};
+use crate::placement::Counts;
+use crate::settings::Settings;
+use crate::split::{self, Need, Shape};
+use crate::types::{JobId, RequestId, Stamp, Time, WallMs};
+use crate::wire;
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+const MOST_TASKS: u64 = 100_000;
+/// Requests that may wait here; beyond it users are told to come back.
+const WAITING_LIMIT: usize = 400;
+/// A poll's client waits two seconds: no answer of ours takes longer.
+const POLL_PATIENCE_S: f64 = 1.4;
+const SUBMIT_PATIENCE_S: f64 = 3.0;
+const RETRY_AFTER_S: u32 = 1;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Submission {
+    name_id: String,
+    job_class: String,
+    owner: String,
+    job_kind: JobKind,
+    urgency: Urgency,
+    #[serde(deserialize_with = "wire::amount")]
+    pieces: f64,
+    #[serde(deserialize_with = "wire::amount")]
+    vcpus: f64,
+    #[serde(deserialize_with = "wire::amount")]
+    cards: f64,
+    #[serde(deserialize_with = "wire::amount")]
+    memory_gb: f64,
+    bundle: String,
+    #[serde(deserialize_with = "wire::amount")]
+    image_gb: f64,
+    #[serde(default)]
+    shapes: Option<Vec<String>>,
+    #[serde(default)]
+    yard: Option<String>,
+    one_zone: bool,
+    apart: bool,
+    loaners: bool,
+    #[serde(deserialize_with = "wire::amount")]
+    expect_s: f64,
+    #[serde(deserialize_with = "wire::amount")]
+    snapshot_every_s: f64,
+    #[serde(deserialize_with = "wire::amount")]
+    snapshot_s: f64,
+    #[serde(default, deserialize_with = "wire::amount_or_null")]
+    due_s: Option<f64>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StatusBody {
+    name_id: String,
+    status: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    running: Option<u32>,
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+}
+
+pub fn problem(text: &str) -> Vec<u8> {
+    wire::encode(&Problem { error: text })
+}
+
+/// Reads a submission; the error is what its user is told.
+pub fn read_submission(body: &[u8], wall: WallMs) -> Result<(JobId, JobSpec), &'static str> {
+    let value: Value = wire::decode(body).map_err(|_| "the body is not CBOR")?;
+    if !matches!(value, Value::Map(_)) {
+        return Err("the body is not a map");
+    }
+    let s: Submission = wire::from_value(&value).map_err(|_| "a field is missing or invalid")?;
+    let id = JobId::parse(&s.name_id).ok_or("nameId is not of the form job-000412")?;
+    let amounts =
+        [s.vcpus, s.cards, s.memory_gb, s.image_gb, s.expect_s, s.snapshot_every_s, s.snapshot_s];
+    if amounts.iter().chain(s.due_s.iter()).any(|a| !a.is_finite() || *a < 0.0) {
+        return Err("an amount is negative or not finite");
+    }
+    if s.pieces.fract() != 0.0 || s.pieces < 1.0 || s.pieces > MOST_TASKS as f64 {
+        return Err("pieces is not between 1 and 100000");
+    }
+    if s.owner.is_empty() || s.job_class.is_empty() {
+        return Err("owner or jobClass is empty");
+    }
+    let spec = JobSpec {
+        class: s.job_class,
+        team: s.owner,
+        kind: s.job_kind,
+        urgency: s.urgency,
+        tasks: s.pieces as u32,
+        cpus: s.vcpus,
+        gpus: s.cards,
+        memory_gb: s.memory_gb,
+        image: s.bundle,
+        image_gb: s.image_gb,
+        shapes: s.shapes,
+        zone: s.yard,
+        one_zone: s.one_zone,
+        spread: s.apart,
+        spot: s.loaners,
+        expect_s: s.expect_s,
+        checkpoint_s: s.snapshot_every_s,
+        save_s: s.snapshot_s,
+        due_s: s.due_s,
+        submitted: wall.0,
+    };
+    Ok((id, spec))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Possible,
+    Never(&'static str),
+    Undecided,
+}
+
+/// Whether a job can ever run here.
+pub fn judge(spec: &JobSpec, settings: &Settings, shapes: &[Shape]) -> Verdict {
+    let Some(team) = settings.team(&spec.team).and_then(|t| settings.params.teams.get(t)) else {
+        return Verdict::Never("unknown team");
+    };
+    let count = if spec.kind == JobKind::Standing { f64::from(spec.tasks) } else { 1.0 };
+    if (team.cpus_max > 0.0 && spec.cpus * count > team.cpus_max + split::EPSILON)
+        || (team.gpus_max > 0.0 && spec.gpus * count > team.gpus_max + split::EPSILON)
+    {
+        return Verdict::Never("above the team's limit");
+    }
+    if shapes.is_empty() {
+        return Verdict::Undecided;
+    }
+    let need = Need { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb };
+    if shapes.iter().all(|s| split::allowed_fit(s, &need, &spec.shapes, &spec.zone) == 0) {
+        return Verdict::Never("a task fits no allowed machine type");
+    }
+    Verdict::Possible
+}
+
+#[derive(Debug)]
+enum Ask {
+    Poll,
+    /// A submission whose id is known, or that may be refused for good.
+    Known {
+        refuse: Option<&'static str>,
+    },
+    Cancel,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    request: RequestId,
+    job: JobId,
+    since: Time,
+    ask: Ask,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum IntakeCall {
+    Accept(Vec<JobId>),
+    Cancel(JobId),
+}
+
+struct Accept {
+    spec: Rc<JobSpec>,
+    requests: Vec<RequestId>,
+    since: Time,
+    flying: bool,
+}
+
+struct Cancel {
+    requests: Vec<RequestId>,
+    since: Time,
+    flying: bool,
+    retry_at: Time,
+}
+
+#[derive(Default)]
+pub struct Intake {
+    waiters: VecDeque<Waiter>,
+    accepts: HashMap<JobId, Accept>,
+    order: VecDeque<JobId>,
+    cancels: HashMap<JobId, Cancel>,
+    accepts_flying: usize,
+    /// What the holder last told us of jobs' progress; for display only.
+    pub shown: HashMap<JobId, Counts>,
+}
+
+pub trait Context {
+    fn counts(&self, id: JobId) -> Option<Counts>;
+}
+
+impl Intake {
+    /// Somebody waits for a fresh copy of the jobs.
+    pub fn asks(&self) -> bool {
+        !self.waiters.is_empty() || self.cancels.values().any(|c| !c.flying)
+    }
+
+    fn waiting(&self) -> usize {
+        self.waiters.len() + self.accepts.len() + self.cancels.len()
+    }
+
+    pub fn busy(out: &mut Vec<Out>, to: RequestId, why: &str) {
+        out.push(Out::Answer {
+            to,
+            status: 503,
+            retry_after: Some(RETRY_AFTER_S),
+            body: problem(why),
+        });
+    }
+
+    fn answer(
+        out: &mut Vec<Out>,
+        to: RequestId,
+        status: u16,
+        id: JobId,
+        state: &'static str,
+        counts: Option<Counts>,
+    ) {
+        let body = wire::encode(&StatusBody {
+            name_id: id.to_string(),
+            status: state,
+            done: counts.map(|c| c.done),
+            running: counts.map(|c| c.running),
+        });
+        out.push(Out::Answer { to, status, retry_after: None, body });
+    }
+
+    fn tell(
+        &self,
+        out: &mut Vec<Out>,
+        to: RequestId,
+        id: JobId,
+        entry: &jobs::Entry,
+        own: Option<Counts>,
+    ) {
+        let counts = own.or_else(|| self.shown.get(&id).copied()).unwrap_or_default();
+        let state = match entry.state {
+            JobState::Done => "done",
+            JobState::Cancelled => "cancelled",
+            JobState::Open if counts.running > 0 => "running",
+            JobState::Open => "pending",
+        };
+        Self::answer(out, to, 200, id, state, Some(counts));
+    }
+
+    pub fn submit(
+        &mut self,
+        now: Time,
+        to: RequestId,
+        (id, spec): (JobId, JobSpec),
+        verdict: Verdict,
+        book: &JobBook,
+        out: &mut Vec<Out>,
+    ) {
+        if let Some(entry) = book.get(id).filter(|e| e.state != JobState::Open) {
+            return self.tell(out, to, id, entry, None);
+        }
+        if self.waiting() >= WAITING_LIMIT {
+            return Self::busy(out, to, "too many requests wait");
+        }
+        let ask = match verdict {
+            Verdict::Undecided => return Self::busy(out, to, "machine types are not yet known"),
+            // A job that was accepted once is not refused when types or limits
+            // have changed since: look first.
+            Verdict::Never(why) => Ask::Known { refuse: Some(why) },
+            Verdict::Possible if book.get(id).is_some() => Ask::Known { refuse: None },
+            Verdict::Possible => {
+                match self.accepts.get_mut(&id) {
+                    Some(a) => a.requests.push(to),
+                    None => {
+                        self.order.push_back(id);
+                        self.accepts.insert(
+                            id,
+                            Accept {
+                                spec: Rc::new(spec),
+                                requests: vec![to],
+                                since: now,
+                                flying: false,
+                            },
+                        );
+                    }
+                }
+                return;
+            }
+        };
+        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask });
+    }
+
+    pub fn poll(
+        &mut self,
+        now: Time,
+        to: RequestId,
+        id: JobId,
+        book: &JobBook,
+        out: &mut Vec<Out>,
+    ) {
+        if let Some(entry) = book.get(id).filter(|e| e.state != JobState::Open) {
+            return self.tell(out, to, id, entry, None);
+        }
+        if self.waiting() >= WAITING_LIMIT {
+            return Self::busy(out, to, "too many requests wait");
+        }
+        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Poll });
+    }
+
+    pub fn cancel(
+        &mut self,
+        now: Time,
+        to: RequestId,
+        id: JobId,
+        book: &JobBook,
+        out: &mut Vec<Out>,
+    ) {
+        match book.get(id).map(|e| e.state) {
+            Some(JobState::Done) => return Self::answer(out, to, 200, id, "done", None),
+            Some(JobState::Cancelled) => return Self::answer(out, to, 200, id, "cancelled", None),
+            _ => {}
+        }
+        if self.waiting() >= WAITING_LIMIT {
+            return Self::busy(out, to, "too many requests wait");
+        }
+        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Cancel });
+    }
+
+    /// The copy of the jobs was refreshed, or could not be.
+    pub fn on_fresh(
+        &mut self,
+        now: Time,
+        freshness: Freshness,
+        book: &JobBook,
+        own: &dyn Context,
+        out: &mut Vec<Out>,
+    ) {
+        if freshness == Freshness::Unchanged {
+            return;
+        }
+        let fresh = book.fresh();
+        let mut left = VecDeque::new();
+        while let Some(w) = self.waiters.pop_front() {
+            // Only a copy read after the question came can answer it.
+            if fresh.is_none_or(|f| f < w.since) {
+                if freshness == Freshness::Failed {
+                    Self::busy(out, w.request, "the state service cannot be reached");
+                } else {
+                    left.push_back(w);
+                }
+                continue;
+            }
+            match (w.ask, book.get(w.job)) {
+                (Ask::Poll | Ask::Known { .. }, Some(entry)) => {
+                    let counts = own.counts(w.job);
+                    self.tell(out, w.request, w.job, entry, counts);
+                }
+                (Ask::Poll, None) | (Ask::Cancel, None) => out.push(Out::Answer {
+                    to: w.request,
+                    status: 404,
+                    retry_after: None,
+                    body: problem("no such job"),
+                }),
+                (Ask::Known { refuse: Some(why) }, None) => out.push(Out::Answer {
+                    to: w.request,
+                    status: 422,
+                    retry_after: None,
+                    body: problem(why),
+                }),
+                (Ask::Known { refuse: None }, None) => Self::busy(out, w.request, "try again"),
+                (Ask::Cancel, Some(entry)) => match entry.state {
+                    JobState::Done => Self::answer(out, w.request, 200, w.job, "done", None),
+                    JobState::Cancelled => {
+                        Self::answer(out, w.request, 200, w.job, "cancelled", None)
+                    }
+                    JobState::Open => {
+                        let c = self.cancels.entry(w.job).or_insert(Cancel {
+                            requests: Vec::new(),
+                            since: now,
+                            flying: false,
+                            retry_at: now,
+                        });
+                        c.requests.push(w.request);
+                    }
+                },
+            }
+        }
+        self.waiters = left;
+    }
+
+    pub fn tick(
+        &mut self,
+        now: Time,
+        book: &JobBook,
+        ledger: &mut Ledger<Tag>,
+        out: &mut Vec<Out>,
+    ) {
+        while let Some(w) = self.waiters.front() {
+            if now.since(w.since) <= POLL_PATIENCE_S {
+                break;
+            }
+            if let Some(w) = self.waiters.pop_front() {
+                Self::busy(out, w.request, "the state service does not answer");
+            }
+        }
+        self.send_accepts(now, ledger);
+        let mut over = Vec::new();
+        for (id, c) in &mut self.cancels {
+            if c.flying || now < c.retry_at {
+                continue;
+            }
+            let entry = book.get(*id);
+            match entry.map(|e| (e.state, e.spec.as_ref())) {
+                Some((JobState::Open, Some(spec))) if now.since(c.since) < SUBMIT_PATIENCE_S => {
+                    let mut txn = Txn::default();
+                    let stamp = entry.map_or(Stamp(0), |e| e.stamp);
+                    txn.write(jobs::key(*id), stamp, jobs::cancelled_record(spec), None);
+                    c.flying = true;
+                    ledger.commit(now, Priority::Accept, Tag::Intake(IntakeCall::Cancel(*id)), txn);
+                }
+                Some((JobState::Done, _)) => over.push((*id, Some("done"))),
+                Some((JobState::Cancelled, _)) => over.push((*id, Some("cancelled"))),
+                _ => over.push((*id, None)),
+            }
+        }
+        for (id, state) in over {
+            let Some(c) = self.cancels.remove(&id) else { continue };
+            for to in c.requests {
+                match state {
+                    Some(s) => Self::answer(out, to, 200, id, s, None),
+                    None => Self::busy(out, to, "the state service does not answer"),
+                }
+            }
+        }
+        if self.shown.len() > 4_096 {
+            self.shown.retain(|id, _| book.get(*id).is_some_and(|e| e.state == JobState::Open));
+        }
+    }
+
+    fn send_accepts(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
+        while self.accepts_flying < 3 {
+            let mut txn = Txn::default();
+            let mut ids = Vec::new();
+            while let Some(id) = self.order.front().copied() {
+                let Some(a) = self.accepts.get_mut(&id).filter(|a| !a.flying) else {
+                    self.order.pop_front();
+                    continue;
+                };
+                let value = jobs::open_record(&a.spec);
+                if txn.puts() >= ledger.max_puts().min(8)
+                    || !txn.has_room(wire::json_len(&value) + 256) && txn.puts() > 0
+                {
+                    break;
+                }
+                a.flying = true;
+                txn.write(jobs::key(id), Stamp(0), value, None);
+                ids.push(id);
+                self.order.pop_front();
+            }
+            if ids.is_empty() {
+                return;
+            }
+            self.accepts_flying += 1;
+            ledger.commit(now, Priority::Accept, Tag::Intake(IntakeCall::Accept(ids)), txn);
+        }
+    }
+
+    pub fn on_reply(
+        &mut self,
+        now: Time,
+        call: IntakeCall,
+        reply: Reply<Tag>,
+        book: &mut JobBook,
+        out: &mut Vec<Out>,
+    ) {
+        match call {
+            IntakeCall::Accept(ids) => {
+                self.accepts_flying = self.accepts_flying.saturating_sub(1);
+                match reply.outcome {
+                    Outcome::Ok(body) => {
+                        let rev = wire::decode::<Committed>(&body).map(|c| c.rev).unwrap_or(0);
+                        for id in ids {
+                            let Some(a) = self.accepts.remove(&id) else { continue };
+                            if rev > 0 {
+                                book.wrote(id, Stamp(rev), JobState::Open, Some(a.spec));
+                            }
+                            let mut status = 201;
+                            for to in a.requests {
+                                Self::answer(out, to, status, id, "pending", None);
+                                status = 200;
+                            }
+                        }
+                    }
+                    Outcome::Conflict(failed) => {
+                        for id in ids {
+                            let exists = failed.contains(&jobs::key(id));
+                            if !exists && !failed.is_empty() {
+                                if let Some(a) = self.accepts.get_mut(&id) {
+                                    if now.since(a.since) < SUBMIT_PATIENCE_S {
+                                        a.flying = false;
+                                        self.order.push_front(id);
+                                        continue;
+                                    }
+                                }
+                            }
+                            // Somebody accepted it before: say what it is now.
+                            let Some(a) = self.accepts.remove(&id) else { continue };
+                            for to in a.requests {
+                                self.waiters.push_back(Waiter {
+                                    request: to,
+                                    job: id,
+                                    since: now,
+                                    ask: Ask::Known { refuse: None },
+                                });
+                            }
+                        }
+                    }
+                    // Refused, or its fate unknown: the user's own retry finds
+                    // out, since creating the key is conditional.
+                    _ => {
+                        for id in ids {
+                            let Some(a) = self.accepts.remove(&id) else { continue };
+                            for to in a.requests {
+                                Self::busy(out, to, "the state service cannot be reached");
+                            }
+                        }
+                    }
+                }
+            }
+            IntakeCall::Cancel(id) => match reply.outcome {
+                Outcome::Ok(body) => {
+                    let spec = book.get(id).and_then(|e| e.spec.clone());
+                    if let Ok(c) = wire::decode::<Committed>(&body) {
+                        book.wrote(id, Stamp(c.rev), JobState::Cancelled, spec);
+                    }
+                    if let Some(c) = self.cancels.remove(&id) {
+                        for to in c.requests {
+                            Self::answer(out, to, 200, id, "cancelled", None);
+                        }
+                    }
+                }
+                Outcome::Conflict(_) => {
+                    // It changed: the next refresh tells how.
+                    if let Some(c) = self.cancels.get_mut(&id) {
+                        c.flying = false;
+                        c.retry_at = now.plus(0.05);
+                    }
+                }
+                _ => {
+                    if let Some(c) = self.cancels.remove(&id) {
+                        for to in c.requests {
+                            Self::busy(out, to, "the state service cannot be reached");
+                        }
+                    }
+                }
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/leader.rs
@@ -0,0 +1,387 @@
+//! Election and terms.
+//!
+//! The leader's key hangs on a lease of the state service; whoever creates it
+//! takes the block key in the same transaction, and the revision of that
+//! transaction is the token for workers. The block key stays when the lease
+//! lapses, so a leader that was merely slow keeps its token until somebody
+//! else really takes over.
+
+use crate::ledger::{Committed, Ledger, News, Outcome, Permit, Priority, Reply, Scan, Txn};
+use crate::node::Tag;
+use crate::settings::Settings;
+use crate::types::{Stamp, Time, Token};
+use crate::wire;
+use serde::{Deserialize, Serialize};
+
+const LEAD: &str = "lead/now";
+const LEAD_PREFIX: &str = "lead/";
+pub const BLOCK: &str = "block/0";
+const BLOCK_PREFIX: &str = "block/";
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Name {
+    v: u32,
+    label: String,
+    nonce: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadCall {
+    Lease,
+    Renew,
+    ReadLead,
+    WatchLead,
+    ReadBlock,
+    Take,
+    Reclaim,
+    Check,
+}
+
+/// Changes of standing that the node has to act on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Same,
+    Took { token: Token, own_predecessor: bool },
+    Lost,
+}
+
+pub struct Leader {
+    me: Name,
+    life_s: f64,
+    permit: Option<u64>,
+    permit_sent: Time,
+    lease_flying: bool,
+    renew_flying: bool,
+    lead: Option<(Name, Stamp)>,
+    lead_rev: Option<u64>,
+    lead_flying: bool,
+    block: Option<(Option<Name>, Stamp)>,
+    block_flying: bool,
+    taking: bool,
+    token: Option<Token>,
+    check_flying: bool,
+    checked: Time,
+    check_sent: Time,
+    retry_at: Time,
+}
+
+impl Leader {
+    pub fn new(settings: &Settings, nonce: u64) -> Leader {
+        Leader {
+            me: Name { v: 1, label: settings.label.clone(), nonce },
+            life_s: settings.leader_lease_s(),
+            permit: None,
+            permit_sent: Time::default(),
+            lease_flying: false,
+            renew_flying: false,
+            lead: None,
+            lead_rev: None,
+            lead_flying: false,
+            block: None,
+            block_flying: false,
+            taking: false,
+            token: None,
+            check_flying: false,
+            checked: Time::default(),
+            check_sent: Time::default(),
+            retry_at: Time::default(),
+        }
+    }
+
+    pub fn token(&self) -> Option<Token> {
+        self.token
+    }
+
+    /// When the state service last confirmed that we hold the block, by the
+    /// time its request was sent.
+    pub fn checked(&self) -> Time {
+        self.checked
+    }
+
+    /// A committed placement rests on the block key: it confirms it as well.
+    pub fn confirmed(&mut self, sent: Time) {
+        self.checked = self.checked.max(sent);
+    }
+
+    /// The leader that others should be sent to, as far as known.
+    pub fn other_leader(&self) -> Option<&str> {
+        self.lead.as_ref().map(|(n, _)| n.label.as_str()).filter(|l| *l != self.me.label)
+    }
+
+    /// A worker has seen a higher token, or a condition on the block failed:
+    /// somebody took over. Guard 1: from here on we answer no worker with 200.
+    pub fn deposed(&mut self, now: Time) -> Standing {
+        if self.token.take().is_none() {
+            return Standing::Same;
+        }
+        log::info!("another controller has taken over");
+        self.block = None;
+        self.lead_rev = None;
+        self.retry_at = now.plus(0.2);
+        Standing::Lost
+    }
+
+    pub fn tick(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
+        if now < self.retry_at {
+            return;
+        }
+        match self.permit {
+            None if !self.lease_flying => {
+                self.lease_flying = true;
+                ledger.lease(now, Tag::Lead(LeadCall::Lease), self.life_s);
+            }
+            Some(permit)
+                if !self.renew_flying && now.since(self.permit_sent) > self.life_s * 0.25 =>
+            {
+                self.renew_flying = true;
+                ledger.renew(now, Tag::Lead(LeadCall::Renew), permit);
+            }
+            _ => {}
+        }
+        if !self.lead_flying {
+            self.lead_flying = true;
+            match self.lead_rev {
+                None => ledger.scan(
+                    now,
+                    Priority::Lease,
+                    Tag::Lead(LeadCall::ReadLead),
+                    LEAD_PREFIX,
+                    None,
+                ),
+                Some(rev) => ledger.watch(
+                    now,
+                    Priority::Lease,
+                    Tag::Lead(LeadCall::WatchLead),
+                    LEAD_PREFIX,
+                    rev,
+                    3.0,
+                ),
+            }
+        }
+        if self.token.is_some() && !self.check_flying && now.since(self.check_sent) > 1.0 {
+            self.check_flying = true;
+            self.check_sent = now;
+            let mut txn = Txn::default();
+            txn.when(BLOCK, self.block_stamp());
+            ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Check), txn);
+        }
+        self.try_take(now, ledger);
+    }
+
+    fn block_stamp(&self) -> Stamp {
+        self.token.map_or(Stamp(0), |t| Stamp(t.0))
+    }
+
+    fn try_take(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
+        if self.lead_rev.is_none() || self.taking {
+            return;
+        }
+        // Our own label with another nonce is a process of ours that ended:
+        // waiting for its lease to lapse would only cost time.
+        let (free, stamp) = match &self.lead {
+            None => (true, Stamp(0)),
+            Some((name, stamp)) => {
+                (name.label == self.me.label && name.nonce != self.me.nonce, *stamp)
+            }
+        };
+        let Some(permit) = self.permit else { return };
+        if !free {
+            return;
+        }
+        if let Some(token) = self.token {
+            // Our lease lapsed but nobody took the block: hang the key up again.
+            self.taking = true;
+            let mut txn = Txn::default();
+            txn.when(BLOCK, Stamp(token.0));
+            txn.write(LEAD, stamp, wire::to_value(&self.me), Some(permit));
+            ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Reclaim), txn);
+            return;
+        }
+        match &self.block {
+            None if !self.block_flying => {
+                self.block_flying = true;
+                ledger.scan(
+                    now,
+                    Priority::Lease,
+                    Tag::Lead(LeadCall::ReadBlock),
+                    BLOCK_PREFIX,
+                    None,
+                );
+            }
+            Some((_, block_stamp)) => {
+                self.taking = true;
+                let mut txn = Txn::default();
+                txn.write(LEAD, stamp, wire::to_value(&self.me), Some(permit));
+                txn.write(BLOCK, *block_stamp, wire::to_value(&self.me), None);
+                ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Take), txn);
+            }
+            None => {}
+        }
+    }
+
+    pub fn on_reply(
+        &mut self,
+        now: Time,
+        call: LeadCall,
+        reply: Reply<Tag>,
+        ledger: &mut Ledger<Tag>,
+    ) -> Standing {
+        let standing = self.apply(now, call, reply);
+        self.tick(now, ledger);
+        standing
+    }
+
+    fn apply(&mut self, now: Time, call: LeadCall, reply: Reply<Tag>) -> Standing {
+        match call {
+            LeadCall::Lease => {
+                self.lease_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => {
+                        if let Ok(p) = wire::decode::<Permit>(&body) {
+                            self.permit = Some(p.permit);
+                            self.permit_sent = reply.sent;
+                        }
+                    }
+                    _ => self.retry_at = now.plus(0.2),
+                }
+            }
+            LeadCall::Renew => {
+                self.renew_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(_) => self.permit_sent = reply.sent,
+                    Outcome::Missing => self.permit = None,
+                    _ => self.retry_at = now.plus(0.1),
+                }
+            }
+            LeadCall::ReadLead => {
+                self.lead_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => match wire::decode::<Scan>(&body) {
+                        Ok(scan) => {
+                            self.lead = scan.pairs.iter().find(|p| p.path == LEAD).and_then(|p| {
+                                Some((wire::from_value(&p.value).ok()?, Stamp(p.stamp)))
+                            });
+                            self.lead_rev = Some(scan.rev);
+                        }
+                        Err(_) => self.retry_at = now.plus(0.5),
+                    },
+                    _ => self.retry_at = now.plus(0.2),
+                }
+            }
+            LeadCall::WatchLead => {
+                self.lead_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => match wire::decode::<News>(&body) {
+                        Ok(news) => {
+                            for change in &news.news {
+                                // News from before our own take is old.
+                                if self.lead.as_ref().is_some_and(|(_, s)| s.0 > change.stamp) {
+                                    continue;
+                                }
+                                self.lead = match (&change.write, &change.value) {
+                                    (Some(path), Some(value)) if path == LEAD => {
+                                        wire::from_value(value)
+                                            .ok()
+                                            .map(|n| (n, Stamp(change.stamp)))
+                                    }
+                                    _ => None,
+                                };
+                            }
+                            self.lead_rev = Some(news.rev);
+                        }
+                        Err(_) => self.lead_rev = None,
+                    },
+                    Outcome::Gone => self.lead_rev = None,
+                    _ => self.retry_at = now.plus(0.2),
+                }
+                let other = self
+                    .lead
+                    .as_ref()
+                    .is_some_and(|(n, _)| *n != self.me && n.label != self.me.label);
+                if other && self.token.is_some() {
+                    return self.deposed(now);
+                }
+            }
+            LeadCall::ReadBlock => {
+                self.block_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => match wire::decode::<Scan>(&body) {
+                        Ok(scan) => {
+                            let found = scan.pairs.iter().find(|p| p.path == BLOCK);
+                            let name = found.and_then(|p| wire::from_value::<Name>(&p.value).ok());
+                            let stamp = Stamp(found.map_or(0, |p| p.stamp));
+                            // A reply to our own take that was lost: the nonce
+                            // shows that its transaction was applied, and its
+                            // revision is our token.
+                            if name.as_ref() == Some(&self.me) && self.token.is_none() {
+                                return self.took(stamp, reply.sent, false);
+                            }
+                            self.block = Some((name, stamp));
+                        }
+                        Err(_) => self.retry_at = now.plus(0.5),
+                    },
+                    _ => self.retry_at = now.plus(0.2),
+                }
+            }
+            LeadCall::Take => {
+                self.taking = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => {
+                        if let Ok(c) = wire::decode::<Committed>(&body) {
+                            let own = self.block.as_ref().is_some_and(|(n, _)| {
+                                n.as_ref().is_some_and(|n| n.label == self.me.label)
+                            });
+                            self.lead = Some((self.me.clone(), Stamp(c.rev)));
+                            return self.took(Stamp(c.rev), reply.sent, own);
+                        }
+                        self.reread(now);
+                    }
+                    Outcome::NoLease => self.permit = None,
+                    _ => self.reread(now),
+                }
+            }
+            LeadCall::Reclaim => {
+                self.taking = false;
+                match reply.outcome {
+                    Outcome::Ok(body) => {
+                        if let Ok(c) = wire::decode::<Committed>(&body) {
+                            self.lead = Some((self.me.clone(), Stamp(c.rev)));
+                            self.confirmed(reply.sent);
+                        }
+                    }
+                    Outcome::NoLease => self.permit = None,
+                    Outcome::Conflict(failed) if failed.iter().any(|k| k == BLOCK) => {
+                        return self.deposed(now);
+                    }
+                    _ => self.reread(now),
+                }
+            }
+            LeadCall::Check => {
+                self.check_flying = false;
+                match reply.outcome {
+                    Outcome::Ok(_) => self.confirmed(reply.sent),
+                    Outcome::Conflict(_) => return self.deposed(now),
+                    _ => {}
+                }
+            }
+        }
+        Standing::Same
+    }
+
+    fn reread(&mut self, now: Time) {
+        self.lead_rev = None;
+        if self.token.is_none() {
+            self.block = None;
+        }
+        self.retry_at = now.plus(0.1);
+    }
+
+    fn took(&mut self, stamp: Stamp, sent: Time, own_predecessor: bool) -> Standing {
+        let token = Token(stamp.0);
+        self.token = Some(token);
+        self.checked = sent;
+        self.block = None;
+        log::info!("took the block with token {}", token.0);
+        Standing::Took { token, own_predecessor }
+    }
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,439 @@
+//! Client of the state service: pacing, transactions, leases and watches.
+//!
+//! Every write is conditional on stamps, so a transaction that is applied late
+//! either changes nothing or does what was meant. A reply that never came is
+//! reported as [`Outcome::Lost`]; its caller reads again and assumes nothing.
+
+use crate::http::Method;
+use crate::node::{Dest, Out};
+use crate::settings::Settings;
+use crate::types::{CallId, Stamp, Time};
+use crate::wire;
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+
+/// Order of importance when the rate limits leave room for some only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    Lease,
+    Accept,
+    Place,
+    Poll,
+    Rest,
+}
+
+const PRIORITIES: usize = 5;
+/// How long a request may wait here before it counts as refused.
+const PATIENCE_S: f64 = 1.5;
+const QUEUE_LIMIT: usize = 256;
+const COMMIT_LIMIT: usize = 56 * 1024;
+
+#[derive(Debug)]
+pub enum Outcome {
+    Ok(Vec<u8>),
+    /// 404: no such key, or no such lease.
+    Missing,
+    /// 409: conditions that failed.
+    Conflict(Vec<String>),
+    /// 410: the watch's revision is too old.
+    Gone,
+    /// 400 "no such lease".
+    NoLease,
+    /// Certainly not executed.
+    Refused,
+    /// May have been executed, or may be later.
+    Lost,
+}
+
+#[derive(Debug)]
+pub struct Reply<T> {
+    pub tag: T,
+    pub outcome: Outcome,
+    /// When the request was sent: what it shows is no older than this.
+    pub sent: Time,
+}
+
+#[derive(Deserialize)]
+pub struct Item {
+    pub path: String,
+    pub value: Value,
+    pub stamp: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Scan {
+    pub pairs: Vec<Item>,
+    #[serde(default)]
+    pub more: bool,
+    #[serde(rename = "ledgerRev")]
+    pub rev: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Change {
+    #[serde(default)]
+    pub write: Option<String>,
+    #[serde(default)]
+    pub delete: Option<String>,
+    #[serde(default)]
+    pub value: Option<Value>,
+    pub stamp: u64,
+}
+
+#[derive(Deserialize)]
+pub struct News {
+    #[serde(rename = "ledgerRev")]
+    pub rev: u64,
+    pub news: Vec<Change>,
+}
+
+#[derive(Deserialize)]
+pub struct Permit {
+    pub permit: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Committed {
+    #[serde(rename = "ledgerRev")]
+    pub rev: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    #[serde(default)]
+    failed: Vec<String>,
+    #[serde(default)]
+    error: Option<String>,
+}
+
+#[derive(Serialize)]
+struct When<'a> {
+    path: &'a str,
+    stamp: u64,
+}
+
+#[derive(Serialize)]
+struct Then<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    write: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<&'a Value>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    permit: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delete: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    when: Vec<When<'a>>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    then: Vec<Then<'a>>,
+}
+
+/// A transaction being put together.
+#[derive(Default, Debug)]
+pub struct Txn {
+    when: Vec<(String, Stamp)>,
+    then: Vec<(String, Option<Value>, Option<u64>)>,
+    size: usize,
+}
+
+impl Txn {
+    pub fn when(&mut self, key: impl Into<String>, stamp: Stamp) {
+        let key = key.into();
+        if !self.when.iter().any(|(k, _)| *k == key) {
+            self.size += key.len() + 32;
+            self.when.push((key, stamp));
+        }
+    }
+    /// Writes `key` on condition that its version still is `stamp`.
+    pub fn write(
+        &mut self,
+        key: impl Into<String>,
+        stamp: Stamp,
+        value: Value,
+        permit: Option<u64>,
+    ) {
+        let key = key.into();
+        self.when(key.clone(), stamp);
+        self.size += key.len() + wire::json_len(&value) + 48;
+        self.then.push((key, Some(value), permit));
+    }
+    pub fn delete(&mut self, key: impl Into<String>, stamp: Stamp) {
+        let key = key.into();
+        self.when(key.clone(), stamp);
+        self.size += key.len() + 24;
+        self.then.push((key, None, None));
+    }
+    pub fn puts(&self) -> usize {
+        self.then.len()
+    }
+    pub fn conditions(&self) -> usize {
+        self.when.len()
+    }
+    /// Whether `more` bytes of JSON still fit into one transaction.
+    pub fn has_room(&self, more: usize) -> bool {
+        self.size + more < COMMIT_LIMIT
+    }
+    fn body(&self) -> Vec<u8> {
+        wire::encode(&Body {
+            when: self.when.iter().map(|(k, s)| When { path: k, stamp: s.0 }).collect(),
+            then: self
+                .then
+                .iter()
+                .map(|(k, v, permit)| Then {
+                    write: v.is_some().then_some(k.as_str()),
+                    value: v.as_ref(),
+                    permit: *permit,
+                    delete: v.is_none().then_some(k.as_str()),
+                })
+                .collect(),
+        })
+    }
+}
+
+struct Queued<T> {
+    tag: T,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+    puts: usize,
+    timeout: f64,
+    since: Time,
+}
+
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Bucket {
+    fn fill(&mut self, now: Time) {
+        self.level = (self.level + now.since(self.at) * self.rate).min(self.rate);
+        self.at = now;
+    }
+}
+
+pub struct Ledger<T> {
+    requests: Bucket,
+    writes: Bucket,
+    full: (f64, f64),
+    txn_ops: usize,
+    queues: [VecDeque<Queued<T>>; PRIORITIES],
+    flying: HashMap<CallId, (T, Time)>,
+    refused: Vec<Reply<T>>,
+    last_ok: Option<Time>,
+}
+
+impl<T> Ledger<T> {
+    pub fn new(settings: &Settings) -> Ledger<T> {
+        let s = &settings.params.state;
+        Ledger {
+            requests: Bucket { rate: s.rps, level: 0.0, at: Time::default() },
+            writes: Bucket { rate: s.write_rps, level: 0.0, at: Time::default() },
+            full: (s.rps, s.write_rps),
+            txn_ops: s.txn_ops,
+            queues: Default::default(),
+            flying: HashMap::new(),
+            refused: Vec::new(),
+            last_ok: None,
+        }
+    }
+
+    /// The limits hold for all controllers together; this is our part of them.
+    pub fn set_share(&mut self, share: f64) {
+        self.requests.rate = (self.full.0 * share).max(2.0);
+        self.writes.rate = (self.full.1 * share).max(2.0);
+    }
+
+    /// Most writes that one transaction may hold and still ever be sent.
+    pub fn max_puts(&self) -> usize {
+        self.txn_ops.min(self.writes.rate as usize).max(2)
+    }
+
+    pub fn max_conditions(&self) -> usize {
+        self.txn_ops * 4
+    }
+
+    fn push(
+        &mut self,
+        now: Time,
+        p: Priority,
+        op: (T, Method, String, Vec<u8>),
+        puts: usize,
+        timeout: f64,
+    ) {
+        let (tag, method, path, body) = op;
+        let queue = &mut self.queues[p as usize];
+        if queue.len() >= QUEUE_LIMIT {
+            self.refused.push(Reply { tag, outcome: Outcome::Refused, sent: now });
+            return;
+        }
+        queue.push_back(Queued { tag, method, path, body, puts, timeout, since: now });
+    }
+
+    pub fn commit(&mut self, now: Time, p: Priority, tag: T, txn: Txn) {
+        let puts = txn.puts();
+        self.push(now, p, (tag, Method::Post, "/commit".into(), txn.body()), puts, 2.0);
+    }
+
+    pub fn watch(&mut self, now: Time, p: Priority, tag: T, under: &str, since: u64, wait_s: f64) {
+        let path = format!("/watch?under={under}&since={since}&waitMs={}", (wait_s * 1e3) as u64);
+        self.push(now, p, (tag, Method::Get, path, Vec::new()), 0, wait_s + 1.5);
+    }
+
+    pub fn scan(&mut self, now: Time, p: Priority, tag: T, under: &str, since: Option<&str>) {
+        let mut path = format!("/store?under={under}&most=500");
+        if let Some(s) = since {
+            path.push_str(&format!("&since={s}"));
+        }
+        self.push(now, p, (tag, Method::Get, path, Vec::new()), 0, 2.5);
+    }
+
+    pub fn lease(&mut self, now: Time, tag: T, life_s: f64) {
+        #[derive(Serialize)]
+        #[serde(rename_all = "camelCase")]
+        struct Hold {
+            life_ms: u64,
+        }
+        let body = wire::encode(&Hold { life_ms: (life_s * 1e3) as u64 });
+        self.push(now, Priority::Lease, (tag, Method::Post, "/holds".into(), body), 0, 1.5);
+    }
+
+    pub fn renew(&mut self, now: Time, tag: T, permit: u64) {
+        let path = format!("/holds/{permit}/renew");
+        self.push(now, Priority::Lease, (tag, Method::Post, path, Vec::new()), 0, 1.5);
+    }
+
+    /// Sends what the limits allow, the important first. Each class leaves a
+    /// little in the buckets, so that a renewal never waits behind polls.
+    pub fn pump(&mut self, now: Time, next_call: &mut u64, out: &mut Vec<Out>) {
+        self.requests.fill(now);
+        self.writes.fill(now);
+        for p in 0..PRIORITIES {
+            while let Some(front) = self.queues[p].front() {
+                let waited = now.since(front.since);
+                let reserve = p as f64 * 0.05;
+                let puts = front.puts as f64;
+                let fits = self.requests.level >= 1.0 + reserve * self.requests.rate
+                    && (puts == 0.0
+                        || self.writes.level
+                            >= (puts + reserve * self.writes.rate).min(self.writes.rate * 0.99));
+                if !fits && waited <= PATIENCE_S {
+                    break;
+                }
+                let Some(op) = self.queues[p].pop_front() else { break };
+                if !fits {
+                    self.refused.push(Reply { tag: op.tag, outcome: Outcome::Refused, sent: now });
+                    continue;
+                }
+                self.requests.level -= 1.0;
+                self.writes.level -= puts;
+                *next_call += 1;
+                let id = CallId(*next_call);
+                self.flying.insert(id, (op.tag, now));
+                out.push(Out::Call {
+                    id,
+                    dest: Dest::State,
+                    method: op.method,
+                    path: op.path,
+                    body: op.body,
+                    timeout_s: op.timeout,
+                });
+            }
+        }
+    }
+
+    /// Requests that were given up here, for their slices to decide anew.
+    pub fn take_refused(&mut self) -> Vec<Reply<T>> {
+        std::mem::take(&mut self.refused)
+    }
+
+    /// When the newest request was sent that the service really handled.
+    pub fn last_ok(&self) -> Option<Time> {
+        self.last_ok
+    }
+
+    pub fn is_ours(&self, id: CallId) -> bool {
+        self.flying.contains_key(&id)
+    }
+
+    pub fn on_reply(&mut self, id: CallId, result: Option<(u16, Vec<u8>)>) -> Option<Reply<T>> {
+        let (tag, sent) = self.flying.remove(&id)?;
+        if matches!(&result, Some((200 | 404 | 409 | 410 | 429, _))) {
+            self.last_ok = self.last_ok.max(Some(sent));
+        }
+        let outcome = match result {
+            None => Outcome::Lost,
+            Some((200, body)) => Outcome::Ok(body),
+            Some((404, _)) => Outcome::Missing,
+            Some((409, body)) => Outcome::Conflict(
+                wire::decode::<Failed>(&body).map(|f| f.failed).unwrap_or_default(),
+            ),
+            Some((410, _)) => Outcome::Gone,
+            Some((429, _)) => {
+                // Others spent more than their part; let the bucket run dry.
+                self.requests.level = self.requests.level.min(0.0);
+                self.writes.level = self.writes.level.min(0.0);
+                Outcome::Refused
+            }
+            Some((503, _)) => Outcome::Refused,
+            Some((400, body)) => {
+                let error = wire::decode::<Failed>(&body).ok().and_then(|f| f.error);
+                if error.as_deref() == Some("no such lease") {
+                    Outcome::NoLease
+                } else {
+                    log::error!("state service calls our request malformed: {error:?}");
+                    Outcome::Refused
+                }
+            }
+            // An unknown status says nothing about whether it was executed.
+            Some((_, _)) => Outcome::Lost,
+        };
+        Some(Reply { tag, outcome, sent })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_renewal_overtakes_polls_and_a_full_bucket_is_not_exceeded() {
+        let settings = crate::settings::tests::SAMPLE;
+        let settings = Settings::parse("t", settings).expect("sound");
+        let mut ledger: Ledger<u32> = Ledger::new(&settings);
+        ledger.set_share(0.1);
+        let (mut calls, mut out) = (0, Vec::new());
+        let start = Time::from_micros(10_000_000);
+        for i in 0..30 {
+            ledger.scan(start, Priority::Poll, i, "j/", None);
+        }
+        ledger.renew(start, 99, 7);
+        ledger.pump(start, &mut calls, &mut out);
+        assert!(out.len() <= 10, "one second's worth at the most, not {}", out.len());
+        assert!(matches!(&out[0], Out::Call { path, .. } if path == "/holds/7/renew"));
+        ledger.pump(start.plus(2.0), &mut calls, &mut out);
+        assert!(out.len() <= 20);
+        assert!(!ledger.take_refused().is_empty(), "what waited too long is given back");
+    }
+
+    #[test]
+    fn a_lost_reply_is_not_taken_for_a_refusal() {
+        let settings = Settings::parse("t", crate::settings::tests::SAMPLE).expect("sound");
+        let mut ledger: Ledger<u32> = Ledger::new(&settings);
+        let (mut calls, mut out) = (0, Vec::new());
+        let now = Time::from_micros(5_000_000);
+        for i in 0..3 {
+            ledger.renew(now, i, 1);
+        }
+        ledger.pump(now, &mut calls, &mut out);
+        let outcome = |l: &mut Ledger<u32>, id, r| l.on_reply(CallId(id), r).map(|r| r.outcome);
+        assert!(matches!(outcome(&mut ledger, 1, None), Some(Outcome::Lost)));
+        assert!(matches!(outcome(&mut ledger, 2, Some((503, vec![]))), Some(Outcome::Refused)));
+        assert!(matches!(outcome(&mut ledger, 3, Some((502, vec![]))), Some(Outcome::Lost)));
+    }
+}
--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,607 @@
+//! Sockets, timers and the one loop, on `polling` and a single thread.
+//!
+//! Everything is bounded: connections by the platform's limit, buffers by the
+//! size of a message, calls by their timeouts. Users are turned away before
+//! workers, peers, the state service or the cloud run out of sockets.
+
+use crate::http::{self, HttpError};
+use crate::node::{Dest, Node, Out};
+use crate::peers;
+use crate::settings::Settings;
+use crate::types::{CallId, RequestId, Time, WallMs};
+use crate::wire::BODY_LIMIT;
+use polling::{Event, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Answers of the state service may be large; beyond this we give up on one.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+const TICK_S: f64 = 0.025;
+const PARTIAL_S: f64 = 10.0;
+const IDLE_S: f64 = 75.0;
+/// Idle time after which a user's connection may be closed for another's.
+const EVICT_S: f64 = 2.0;
+const STATE_CONNS: usize = 24;
+const CLOUD_CONNS: usize = 8;
+const WORKER_CONNS: usize = 64;
+const PUBLIC: usize = usize::MAX - 2;
+const PEERS: usize = usize::MAX - 3;
+
+#[derive(Debug, thiserror::Error)]
+pub enum NetError {
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddrV4, io::Error),
+    #[error("cannot wait for events: {0}")]
+    Poll(#[from] io::Error),
+}
+
+enum Kind {
+    Public { waiting: bool, close: bool, partial: Option<Time>, worker: bool },
+    Call { dest: Dest, current: Option<(CallId, Time)> },
+    PeerIn,
+    PeerOut { member: usize },
+}
+
+struct Conn {
+    stream: TcpStream,
+    kind: Kind,
+    generation: u64,
+    inbuf: Vec<u8>,
+    outbuf: Vec<u8>,
+    writing: bool,
+    active: Time,
+}
+
+pub struct Net {
+    poller: Poller,
+    start: Instant,
+    public: TcpListener,
+    peer_listener: TcpListener,
+    settings: Settings,
+    conns: Vec<Option<Conn>>,
+    free: Vec<usize>,
+    open: usize,
+    public_open: usize,
+    generation: u64,
+    node: Node,
+    /// Calls whose connection failed: their fate is unknown.
+    failed: VecDeque<CallId>,
+    peer_retry: Vec<Time>,
+    ticked: Time,
+}
+
+fn listen(addr: SocketAddrV4) -> Result<TcpListener, NetError> {
+    let open = || -> io::Result<TcpListener> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        // A restarted controller takes its address back at once.
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(512)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    };
+    open().map_err(|e| NetError::Listen(addr, e))
+}
+
+fn connect(addr: SocketAddrV4) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    let _ = socket.set_nodelay(true);
+    match socket.connect(&addr.into()) {
+        Ok(()) => {}
+        // EINPROGRESS: the connection is being made.
+        Err(e) if e.raw_os_error() == Some(115) || e.kind() == io::ErrorKind::WouldBlock => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
+}
+
+pub fn wall() -> WallMs {
+    WallMs(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64))
+}
+
+impl Net {
+    pub fn new(settings: Settings, make: impl FnOnce(Time) -> Node) -> Result<Net, NetError> {
+        let poller = Poller::new()?;
+        let public = listen(settings.public_addr)?;
+        let peer_listener = listen(settings.peer_bind)?;
+        poller.add_with_mode(&public, Event::readable(PUBLIC), PollMode::Level)?;
+        poller.add_with_mode(&peer_listener, Event::readable(PEERS), PollMode::Level)?;
+        let members = settings.members.len();
+        // Time starts well above zero, so that "long ago" can be expressed.
+        let mut net = Net {
+            poller,
+            start: Instant::now(),
+            public,
+            peer_listener,
+            settings,
+            conns: Vec::new(),
+            free: Vec::new(),
+            open: 0,
+            public_open: 0,
+            generation: 0,
+            node: make(Time::from_micros(3_600_000_000)),
+            failed: VecDeque::new(),
+            peer_retry: vec![Time::default(); members],
+            ticked: Time::default(),
+        };
+        net.conns.reserve(64);
+        Ok(net)
+    }
+
+    fn now(&self) -> Time {
+        Time::from_micros(3_600_000_000) + self.start.elapsed()
+    }
+
+    pub fn run(mut self) -> Result<(), NetError> {
+        let mut events = Vec::new();
+        loop {
+            events.clear();
+            self.poller.wait(&mut events, Some(Duration::from_secs_f64(TICK_S)))?;
+            for event in &events {
+                match event.key {
+                    PUBLIC => self.accept(true),
+                    PEERS => self.accept(false),
+                    slot => self.ready(slot, event.readable, event.writable),
+                }
+            }
+            let now = self.now();
+            if now.since(self.ticked) >= TICK_S {
+                self.ticked = now;
+                self.expire(now);
+                self.link_peers(now);
+                let mut out = Vec::new();
+                self.node.on_tick(now, wall(), &mut out);
+                self.act(out);
+            }
+            self.settle();
+        }
+    }
+
+    /// Hands over calls that failed at once, until none is left.
+    fn settle(&mut self) {
+        while let Some(id) = self.failed.pop_front() {
+            let mut out = Vec::new();
+            self.node.on_reply(self.now(), wall(), id, None, &mut out);
+            self.act(out);
+        }
+    }
+
+    // ---- connections ----
+
+    fn insert(&mut self, stream: TcpStream, kind: Kind, connecting: bool) -> io::Result<usize> {
+        let slot = self.free.pop().unwrap_or(self.conns.len());
+        let interest = if connecting { Event::all(slot) } else { Event::readable(slot) };
+        if let Err(e) = self.poller.add_with_mode(&stream, interest, PollMode::Level) {
+            if slot < self.conns.len() {
+                self.free.push(slot);
+            }
+            return Err(e);
+        }
+        self.generation += 1;
+        if matches!(kind, Kind::Public { .. }) {
+            self.public_open += 1;
+        }
+        let conn = Conn {
+            stream,
+            kind,
+            generation: self.generation,
+            inbuf: Vec::new(),
+            outbuf: Vec::new(),
+            writing: connecting,
+            active: self.now(),
+        };
+        if slot == self.conns.len() {
+            self.conns.push(Some(conn));
+        } else {
+            self.conns[slot] = Some(conn);
+        }
+        self.open += 1;
+        Ok(slot)
+    }
+
+    fn close(&mut self, slot: usize) {
+        let Some(conn) = self.conns.get_mut(slot).and_then(Option::take) else { return };
+        let _ = self.poller.delete(&conn.stream);
+        self.open -= 1;
+        self.free.push(slot);
+        match conn.kind {
+            Kind::Call { current: Some((id, _)), .. } => self.failed.push_back(id),
+            Kind::Public { .. } => self.public_open -= 1,
+            Kind::PeerOut { member } => {
+                let at = self.now().plus(1.0);
+                if let Some(r) = self.peer_retry.get_mut(member) {
+                    *r = at;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn accept(&mut self, public: bool) {
+        let limit = self.settings.params.machine_limits.max_connections;
+        // Sockets kept for peers, the state service, the cloud and workers.
+        let reserve = (STATE_CONNS + CLOUD_CONNS + 16).min(limit / 3);
+        for _ in 0..64 {
+            let result = if public { self.public.accept() } else { self.peer_listener.accept() };
+            let Ok((stream, _)) = result else { return };
+            if stream.set_nonblocking(true).is_err() {
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            if public && self.open + reserve >= limit && !self.evict() {
+                // Closed at once: the load balancer or the worker tries
+                // another node instead of waiting for us.
+                continue;
+            }
+            let kind = if public {
+                Kind::Public { waiting: false, close: false, partial: None, worker: false }
+            } else {
+                Kind::PeerIn
+            };
+            let _ = self.insert(stream, kind, false);
+        }
+    }
+
+    /// Closes the user's connection that has been idle longest.
+    fn evict(&mut self) -> bool {
+        let now = self.now();
+        let oldest = self
+            .conns
+            .iter()
+            .enumerate()
+            .filter_map(|(i, c)| c.as_ref().map(|c| (i, c)))
+            .filter(|(_, c)| matches!(c.kind, Kind::Public { waiting: false, worker: false, .. }))
+            .min_by_key(|(_, c)| c.active)
+            .map(|(i, c)| (i, c.active));
+        match oldest {
+            Some((slot, active)) if now.since(active) > EVICT_S => {
+                self.close(slot);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let mut over = Vec::new();
+        for (slot, conn) in self.conns.iter().enumerate() {
+            let Some(c) = conn else { continue };
+            let late = match &c.kind {
+                Kind::Call { current: Some((_, deadline)), .. } => now > *deadline,
+                Kind::Call { current: None, .. } => now.since(c.active) > 30.0,
+                Kind::Public { waiting: false, partial: Some(t), .. } => now.since(*t) > PARTIAL_S,
+                Kind::Public { waiting: false, .. } => now.since(c.active) > IDLE_S,
+                Kind::Public { waiting: true, .. } => now.since(c.active) > IDLE_S,
+                // A link over which nothing goes is not known to be alive.
+                Kind::PeerIn => now.since(c.active) > 10.0,
+                Kind::PeerOut { .. } => !c.outbuf.is_empty() && now.since(c.active) > 5.0,
+            };
+            if late {
+                over.push(slot);
+            }
+        }
+        for slot in over {
+            self.close(slot);
+        }
+    }
+
+    fn link_peers(&mut self, now: Time) {
+        for member in 0..self.settings.members.len() {
+            let linked = self
+                .conns
+                .iter()
+                .flatten()
+                .any(|c| matches!(c.kind, Kind::PeerOut { member: m } if m == member));
+            if linked || now < self.peer_retry[member] {
+                continue;
+            }
+            self.peer_retry[member] = now.plus(1.0);
+            if let Ok(stream) = connect(self.settings.members[member].addr) {
+                let _ = self.insert(stream, Kind::PeerOut { member }, true);
+            }
+        }
+    }
+
+    // ---- input ----
+
+    fn ready(&mut self, slot: usize, readable: bool, writable: bool) {
+        if writable && !self.flush(slot) {
+            return;
+        }
+        if readable {
+            self.read(slot);
+        }
+    }
+
+    fn read(&mut self, slot: usize) {
+        let now = self.now();
+        let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return };
+        let limit = match conn.kind {
+            Kind::Public { .. } => BODY_LIMIT + 2 * http::HEAD_LIMIT,
+            Kind::Call { .. } => ANSWER_LIMIT + http::HEAD_LIMIT,
+            _ => peers::FRAME_LIMIT + 4,
+        };
+        let mut chunk = [0u8; 16 * 1024];
+        let mut ended = false;
+        for _ in 0..16 {
+            if conn.inbuf.len() > limit {
+                break;
+            }
+            match conn.stream.read(&mut chunk) {
+                Ok(0) => {
+                    ended = true;
+                    break;
+                }
+                Ok(n) => {
+                    conn.inbuf.extend_from_slice(&chunk[..n]);
+                    conn.active = now;
+                    if n < chunk.len() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
+        match conn.kind {
+            Kind::Public { .. } => self.requests(slot),
+            Kind::Call { .. } => self.response(slot),
+            Kind::PeerIn => self.frames(slot),
+            Kind::PeerOut { .. } => conn.inbuf.clear(),
+        }
+        let over =
+            self.conns.get(slot).and_then(Option::as_ref).is_some_and(|c| c.inbuf.len() > limit);
+        if ended || over {
+            self.close(slot);
+        }
+    }
+
+    fn requests(&mut self, slot: usize) {
+        loop {
+            let now = self.now();
+            let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return };
+            let generation = conn.generation;
+            let Kind::Public { waiting, close, partial, worker } = &mut conn.kind else { return };
+            if *waiting || *close {
+                return;
+            }
+            match http::take_request(&mut conn.inbuf, BODY_LIMIT) {
+                Ok(None) => {
+                    *partial = if conn.inbuf.is_empty() { None } else { partial.or(Some(now)) };
+                    return;
+                }
+                Ok(Some(request)) => {
+                    *waiting = true;
+                    *close = request.close;
+                    *partial = None;
+                    *worker |= request.path.starts_with("/hello");
+                    let id = RequestId { slot, generation };
+                    let mut out = Vec::new();
+                    self.node.on_request(now, wall(), id, request, &mut out);
+                    self.act(out);
+                }
+                Err(error) => {
+                    *waiting = true;
+                    *close = true;
+                    conn.inbuf.clear();
+                    let status = if error == HttpError::TooLarge { 413 } else { 400 };
+                    let body = crate::intake::problem(&error.to_string());
+                    let to = RequestId { slot, generation };
+                    self.act(vec![Out::Answer { to, status, retry_after: None, body }]);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn response(&mut self, slot: usize) {
+        let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return };
+        let Kind::Call { current, .. } = &mut conn.kind else { return };
+        if current.is_none() {
+            // Nothing was asked: whatever this is, the connection is no good.
+            if !conn.inbuf.is_empty() {
+                self.close(slot);
+            }
+            return;
+        }
+        match http::take_response(&mut conn.inbuf, ANSWER_LIMIT) {
+            Ok(None) => {}
+            Ok(Some(response)) => {
+                let id = current.take().map(|(id, _)| id);
+                if response.close {
+                    self.close(slot);
+                } else {
+                    conn.inbuf.shrink_to(16 * 1024);
+                }
+                if let Some(id) = id {
+                    let mut out = Vec::new();
+                    self.node.on_reply(
+                        self.now(),
+                        wall(),
+                        id,
+                        Some((response.status, response.body)),
+                        &mut out,
+                    );
+                    self.act(out);
+                }
+            }
+            Err(_) => self.close(slot),
+        }
+    }
+
+    fn frames(&mut self, slot: usize) {
+        loop {
+            let now = self.now();
+            let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return };
+            match peers::take(&mut conn.inbuf) {
+                Ok(Some(frame)) => self.node.on_frame(now, frame),
+                Ok(None) => return,
+                Err(_) => return self.close(slot),
+            }
+        }
+    }
+
+    // ---- output ----
+
+    fn act(&mut self, out: Vec<Out>) {
+        for o in out {
+            match o {
+                Out::Answer { to, status, retry_after, body } => {
+                    self.answer(to, status, retry_after, &body)
+                }
+                Out::Call { id, dest, method, path, body, timeout_s } => {
+                    let deadline = self.now().plus(timeout_s);
+                    match self.client(dest) {
+                        Some(slot) => {
+                            let host = self.address(dest).to_string();
+                            if let Some(c) = self.conns.get_mut(slot).and_then(Option::as_mut) {
+                                c.kind = Kind::Call { dest, current: Some((id, deadline)) };
+                                http::write_request(&mut c.outbuf, method, &path, &host, &body);
+                            }
+                            self.flush(slot);
+                        }
+                        None => self.failed.push_back(id),
+                    }
+                }
+                Out::Tell { frame } => {
+                    let links: Vec<usize> = self
+                        .conns
+                        .iter()
+                        .enumerate()
+                        .filter(|(_, c)| {
+                            c.as_ref().is_some_and(|c| matches!(c.kind, Kind::PeerOut { .. }))
+                        })
+                        .map(|(i, _)| i)
+                        .collect();
+                    for slot in links {
+                        if let Some(c) = self.conns.get_mut(slot).and_then(Option::as_mut) {
+                            // A peer that does not read gets no more to store.
+                            if c.outbuf.len() < 2 * peers::FRAME_LIMIT {
+                                c.outbuf.extend_from_slice(&frame);
+                            }
+                        }
+                        self.flush(slot);
+                    }
+                }
+            }
+        }
+    }
+
+    fn address(&self, dest: Dest) -> SocketAddrV4 {
+        match dest {
+            Dest::State => self.settings.external.state,
+            Dest::Cloud => self.settings.external.cloud,
+            Dest::Worker(addr) => addr,
+        }
+    }
+
+    /// An idle connection to `dest`, or a new one.
+    fn client(&mut self, dest: Dest) -> Option<usize> {
+        let mut count = 0;
+        let mut idle = None;
+        for (slot, c) in self.conns.iter().enumerate() {
+            if let Some(Conn { kind: Kind::Call { dest: d, current }, .. }) = c {
+                let same = match (d, &dest) {
+                    (Dest::Worker(_), Dest::Worker(_)) => {
+                        count += 1;
+                        *d == dest
+                    }
+                    _ => {
+                        count += usize::from(*d == dest);
+                        *d == dest
+                    }
+                };
+                if same && current.is_none() {
+                    idle = Some(slot);
+                }
+            }
+        }
+        if idle.is_some() {
+            return idle;
+        }
+        let limit = match dest {
+            Dest::State => STATE_CONNS,
+            Dest::Cloud => CLOUD_CONNS,
+            Dest::Worker(_) => WORKER_CONNS,
+        };
+        if count >= limit {
+            return None;
+        }
+        let stream = connect(self.address(dest)).ok()?;
+        self.insert(stream, Kind::Call { dest, current: None }, true).ok()
+    }
+
+    fn answer(&mut self, to: RequestId, status: u16, retry_after: Option<u32>, body: &[u8]) {
+        let now = self.now();
+        let Some(conn) = self.conns.get_mut(to.slot).and_then(Option::as_mut) else { return };
+        // The slot may serve another connection by now.
+        if conn.generation != to.generation {
+            return;
+        }
+        let Kind::Public { waiting, close, .. } = &mut conn.kind else { return };
+        if !*waiting {
+            return;
+        }
+        *waiting = false;
+        conn.active = now;
+        let closing = *close;
+        http::write_response(&mut conn.outbuf, status, retry_after, closing, body);
+        let more = !conn.inbuf.is_empty();
+        if self.flush(to.slot) && more && !closing {
+            self.requests(to.slot);
+        }
+    }
+
+    /// Writes what the socket takes; false when the connection is gone.
+    fn flush(&mut self, slot: usize) -> bool {
+        let now = self.now();
+        let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return false };
+        let mut sent = 0;
+        let mut broken = false;
+        while sent < conn.outbuf.len() {
+            match conn.stream.write(&conn.outbuf[sent..]) {
+                Ok(0) => {
+                    broken = true;
+                    break;
+                }
+                Ok(n) => {
+                    sent += n;
+                    conn.active = now;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e)
+                    if e.kind() == io::ErrorKind::WouldBlock
+                        || e.kind() == io::ErrorKind::NotConnected =>
+                {
+                    break
+                }
+                Err(_) => {
+                    broken = true;
+                    break;
+                }
+            }
+        }
+        conn.outbuf.drain(..sent);
+        let done = conn.outbuf.is_empty();
+        let finished =
+            done && matches!(conn.kind, Kind::Public { waiting: false, close: true, .. });
+        if broken || finished {
+            self.close(slot);
+            return false;
+        }
+        if done == conn.writing {
+            conn.writing = !done;
+            let interest = if done { Event::readable(slot) } else { Event::all(slot) };
+            let _ = self.poller.modify_with_mode(&conn.stream, interest, PollMode::Level);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,465 @@
+//! One controller: the slices put together.
+//!
+//! Events and the time go in, [`Out`] messages come out. Nothing here touches
+//! a socket or a clock, so tests run whole clusters in simulated time.
+
+use crate::fleet::{Fleet, FleetCall};
+use crate::http::{Method, Request};
+use crate::intake::{self, Context, Intake, IntakeCall};
+use crate::jobs::{JobBook, JobCall};
+use crate::leader::{LeadCall, Leader, Standing};
+use crate::ledger::{Ledger, Reply};
+use crate::peers::{self, Frame, Peers};
+use crate::placement::{Counts, Order, PlaceCall, Placement, Report, Verdict};
+use crate::settings::{Operator, Settings};
+use crate::types::{CallId, JobId, MachineId, RequestId, Time, WallMs};
+use crate::wire;
+use serde::Serialize;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Dest {
+    State,
+    Cloud,
+    Worker(SocketAddrV4),
+}
+
+/// What the node wants done.
+#[derive(Debug)]
+pub enum Out {
+    Call {
+        id: CallId,
+        dest: Dest,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout_s: f64,
+    },
+    Answer {
+        to: RequestId,
+        status: u16,
+        retry_after: Option<u32>,
+        body: Vec<u8>,
+    },
+    /// To every peer.
+    Tell {
+        frame: Vec<u8>,
+    },
+}
+
+/// Which slice waits for a reply of the state service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Tag {
+    Job(JobCall),
+    Lead(LeadCall),
+    Place(PlaceCall),
+    Intake(IntakeCall),
+    Fleet(FleetCall),
+}
+
+#[derive(Serialize)]
+struct WorkerAnswer {
+    baton: u64,
+    orders: Vec<Order>,
+}
+
+#[derive(Serialize)]
+struct Elsewhere<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    foreman: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Direct {
+    baton: u64,
+    tenure: u64,
+    orders: Vec<Order>,
+}
+
+struct Own<'a>(Option<&'a Placement>);
+
+impl Context for Own<'_> {
+    fn counts(&self, id: JobId) -> Option<Counts> {
+        self.0.and_then(|p| p.counts(id))
+    }
+}
+
+pub struct Node {
+    settings: Settings,
+    operator: Operator,
+    ledger: Ledger<Tag>,
+    book: JobBook,
+    intake: Intake,
+    leader: Leader,
+    place: Option<Placement>,
+    fleet: Fleet,
+    peers: Peers,
+    next_call: u64,
+    /// Workers we told of our token directly, and when.
+    nudged: HashMap<MachineId, Time>,
+    nudges: HashMap<CallId, MachineId>,
+    started: Time,
+}
+
+impl Node {
+    pub fn new(settings: Settings, operator: Operator, nonce: u64, now: Time) -> Node {
+        let mut ledger = Ledger::new(&settings);
+        ledger.set_share(follower_share(&settings));
+        Node {
+            ledger,
+            book: JobBook::default(),
+            intake: Intake::default(),
+            leader: Leader::new(&settings, nonce),
+            place: None,
+            fleet: Fleet::new(&settings),
+            peers: Peers::default(),
+            next_call: 0,
+            nudged: HashMap::new(),
+            nudges: HashMap::new(),
+            started: now,
+            settings,
+            operator,
+        }
+    }
+
+    pub fn is_holder(&self) -> bool {
+        self.place.is_some()
+    }
+
+    pub fn placement(&self) -> Option<&Placement> {
+        self.place.as_ref()
+    }
+
+    // ---- requests of users and workers ----
+
+    pub fn on_request(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        id: RequestId,
+        req: Request,
+        out: &mut Vec<Out>,
+    ) {
+        let path = req.path.split('?').next().unwrap_or("");
+        let method = req.method;
+        let wrong = |out: &mut Vec<Out>| refuse(out, id, 405, "method not allowed");
+        match path {
+            "/up" if method == Method::Get => self.up(now, id, out),
+            "/hello" if method == Method::Post => self.hello(now, id, &req.body, out),
+            "/api/jobs" if method == Method::Post => self.submit(now, wall, id, &req.body, out),
+            "/up" | "/hello" | "/api/jobs" => wrong(out),
+            _ => match path.strip_prefix("/api/jobs/") {
+                None => refuse(out, id, 404, "no such path"),
+                Some(rest) => match (rest.strip_suffix("/cancel"), method) {
+                    (Some(job), Method::Post) => match JobId::parse(job) {
+                        Some(job) => self.intake.cancel(now, id, job, &self.book, out),
+                        None => refuse(out, id, 404, "no such job"),
+                    },
+                    (None, Method::Get) => match JobId::parse(rest) {
+                        Some(job) => self.intake.poll(now, id, job, &self.book, out),
+                        None => refuse(out, id, 404, "no such job"),
+                    },
+                    _ if rest.contains('/') && !rest.ends_with("/cancel") => {
+                        refuse(out, id, 404, "no such path")
+                    }
+                    _ => wrong(out),
+                },
+            },
+        }
+        self.run(now, wall, out);
+    }
+
+    fn up(&mut self, now: Time, id: RequestId, out: &mut Vec<Out>) {
+        // In an outage of the state service all nodes are equally poor, and
+        // stepping aside would only prolong it for the users afterwards. But
+        // where others still reach it, they serve better than we can.
+        let age = self.ledger_age(now);
+        if age > 2.5 && self.peers.others_reach_ledger(now)
+            || !self.book.loaded() && now.since(self.started) < 5.0
+        {
+            refuse(out, id, 503, "the state service cannot be reached from here");
+        } else {
+            out.push(Out::Answer {
+                to: id,
+                status: 200,
+                retry_after: None,
+                body: wire::encode(&Elsewhere { foreman: None }),
+            });
+        }
+    }
+
+    fn ledger_age(&self, now: Time) -> f64 {
+        self.ledger.last_ok().map_or(1e6, |t| now.since(t))
+    }
+
+    fn submit(&mut self, now: Time, wall: WallMs, id: RequestId, body: &[u8], out: &mut Vec<Out>) {
+        if body.len() > wire::BODY_LIMIT
+            || wire::decode::<ciborium::Value>(body)
+                .is_ok_and(|v| wire::json_len(&v) > wire::BODY_LIMIT)
+        {
+            return refuse(out, id, 413, "the body is too large");
+        }
+        match intake::read_submission(body, wall) {
+            Err(why) => refuse(out, id, 400, why),
+            Ok((job, spec)) => {
+                let verdict = intake::judge(&spec, &self.settings, self.fleet.shapes());
+                self.intake.submit(now, id, (job, spec), verdict, &self.book, out);
+            }
+        }
+    }
+
+    fn hello(&mut self, now: Time, id: RequestId, body: &[u8], out: &mut Vec<Out>) {
+        let Ok(report) = wire::decode::<Report>(body) else {
+            return refuse(out, id, 400, "the report has an unknown form");
+        };
+        // Guard 1: a worker that has seen a higher token answers to somebody
+        // else; we are no longer entitled.
+        if self.leader.token().is_some_and(|t| report.baton > t.0) {
+            let standing = self.leader.deposed(now);
+            self.on_standing(now, standing);
+        }
+        let entitled = self.entitled(now);
+        match (&mut self.place, entitled) {
+            (Some(place), true) => {
+                let token = place.token();
+                let orders = place.report(now, &report, self.fleet.shapes(), &self.book);
+                if !orders.is_empty() {
+                    log::debug!("orders to {}: {orders:?}", report.host);
+                }
+                let body = wire::encode(&WorkerAnswer { baton: token.0, orders });
+                out.push(Out::Answer { to: id, status: 200, retry_after: None, body });
+            }
+            // A holder out of touch names nobody: it may still be the holder.
+            (Some(_), false) => refuse(out, id, 503, "out of touch with the state service"),
+            (None, _) => {
+                let foreman = self.leader.other_leader();
+                out.push(Out::Answer {
+                    to: id,
+                    status: 421,
+                    retry_after: None,
+                    body: wire::encode(&Elsewhere { foreman }),
+                });
+            }
+        }
+    }
+
+    /// Guard 4: H after the last exchange that showed us both the jobs and our
+    /// hold on the block, we stop answering workers.
+    fn entitled(&self, now: Time) -> bool {
+        let limit = self.settings.answer_limit_s();
+        let seen = self.book.fresh().is_some_and(|jobs| now.since(jobs) < limit);
+        self.place.is_some() && seen && now.since(self.leader.checked()) < limit
+    }
+
+    // ---- replies and frames ----
+
+    pub fn on_reply(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        id: CallId,
+        result: Option<(u16, Vec<u8>)>,
+        out: &mut Vec<Out>,
+    ) {
+        if self.ledger.is_ours(id) {
+            if let Some(reply) = self.ledger.on_reply(id, result) {
+                self.route(now, reply, out);
+            }
+        } else if self.fleet.is_ours(id) {
+            self.fleet.on_cloud(now, id, result, self.place.as_mut());
+        } else {
+            self.nudges.remove(&id);
+        }
+        self.run(now, wall, out);
+    }
+
+    fn route(&mut self, now: Time, reply: Reply<Tag>, out: &mut Vec<Out>) {
+        match reply.tag.clone() {
+            Tag::Job(call) => {
+                let freshness = self.book.on_reply(now, call, reply);
+                self.spread_changes(now);
+                self.intake.on_fresh(now, freshness, &self.book, &Own(self.place.as_ref()), out);
+            }
+            Tag::Lead(call) => {
+                let standing = self.leader.on_reply(now, call, reply, &mut self.ledger);
+                self.on_standing(now, standing);
+            }
+            Tag::Place(call) => {
+                let Some(place) = &mut self.place else { return };
+                match place.on_reply(now, call, reply, &mut self.book) {
+                    Verdict::Fine => {}
+                    Verdict::Confirmed(sent) => self.leader.confirmed(sent),
+                    Verdict::RefreshJobs => self.book.want_refresh(),
+                    Verdict::Deposed => {
+                        let standing = self.leader.deposed(now);
+                        self.on_standing(now, standing);
+                    }
+                }
+                self.spread_changes(now);
+            }
+            Tag::Intake(call) => {
+                self.intake.on_reply(now, call, reply, &mut self.book, out);
+                self.spread_changes(now);
+            }
+            Tag::Fleet(call) => self.fleet.on_ledger(now, call, reply),
+        }
+    }
+
+    fn spread_changes(&mut self, now: Time) {
+        let changed = self.book.take_changed();
+        if let Some(place) = self.place.as_mut().filter(|p| p.loaded()) {
+            for id in changed {
+                place.sync_job(now, id, &self.book);
+            }
+        }
+    }
+
+    fn on_standing(&mut self, now: Time, standing: Standing) {
+        match standing {
+            Standing::Same => {}
+            Standing::Lost => {
+                self.place = None;
+                self.fleet.end_term();
+                self.ledger.set_share(follower_share(&self.settings));
+            }
+            Standing::Took { token, own_predecessor } => {
+                self.place = Some(Placement::new(&self.settings, token, now, own_predecessor));
+                self.fleet.begin_term(now, token);
+                self.ledger.set_share(holder_share(&self.settings));
+                self.nudged.clear();
+                self.book.want_refresh();
+            }
+        }
+    }
+
+    pub fn on_frame(&mut self, now: Time, frame: Frame) {
+        match frame {
+            Frame::Pulse { label, ledger_age_ms, .. } => {
+                self.peers.pulse(now, &label, ledger_age_ms as f64 / 1e3);
+            }
+            Frame::Progress(rows) => {
+                self.intake.shown = rows
+                    .into_iter()
+                    .filter_map(|(id, done, running)| {
+                        Some((JobId::parse(&id)?, Counts { done, running }))
+                    })
+                    .collect();
+            }
+        }
+    }
+
+    // ---- time ----
+
+    pub fn on_tick(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
+        if now.since(self.peers.sent) >= 1.0 {
+            self.peers.sent = now;
+            let age = self.ledger_age(now);
+            let pulse = Frame::Pulse {
+                label: self.settings.label.clone(),
+                ledger_age_ms: (age * 1e3) as u64,
+                holder: self.place.is_some(),
+            };
+            out.push(Out::Tell { frame: peers::encode(&pulse) });
+            if let Some(place) = self.place.as_ref().filter(|p| p.loaded()) {
+                out.push(Out::Tell { frame: peers::encode(&peers::progress(place.all_counts())) });
+            }
+        }
+        self.nudge(now, out);
+        self.run(now, wall, out);
+    }
+
+    /// After a takeover, workers that still report elsewhere learn the new
+    /// token directly: a report to us follows at once.
+    fn nudge(&mut self, now: Time, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        if now.since(place.took()) > 60.0
+            || now.since(place.took()) < self.settings.params.workers.report_s * 1.5
+        {
+            return;
+        }
+        let token = place.token();
+        let targets: Vec<(MachineId, SocketAddrV4)> = self
+            .fleet
+            .endpoints()
+            .filter(|(id, _)| place.machine(*id).and_then(|m| m.heard).is_none())
+            .filter(|(id, _)| self.nudged.get(id).is_none_or(|t| now.since(*t) > 3.0))
+            .take(8)
+            .collect();
+        for (machine, endpoint) in targets {
+            self.nudged.insert(machine, now);
+            self.next_call += 1;
+            let id = CallId(self.next_call);
+            self.nudges.insert(id, machine);
+            // The tenure is unknown: any number will do, since even a refusal
+            // for the tenure is answered after the token was compared, and
+            // there is nothing to execute.
+            let body = wire::encode(&Direct { baton: token.0, tenure: 1, orders: Vec::new() });
+            out.push(Out::Call {
+                id,
+                dest: Dest::Worker(endpoint),
+                method: Method::Post,
+                path: "/do".into(),
+                body,
+                timeout_s: 2.0,
+            });
+        }
+    }
+
+    /// All loops, until nothing more follows from what is known.
+    fn run(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
+        for _ in 0..4 {
+            self.leader.tick(now, &mut self.ledger);
+            let follow = self.place.is_some();
+            self.book.tick(now, self.intake.asks(), follow, &mut self.ledger);
+            self.intake.tick(now, &self.book, &mut self.ledger, out);
+            let may_place = self.entitled(now);
+            if let Some(place) = &mut self.place {
+                place.tick(
+                    now,
+                    wall,
+                    may_place,
+                    &self.settings,
+                    self.fleet.shapes(),
+                    &self.book,
+                    &mut self.ledger,
+                );
+            }
+            self.fleet.tick(
+                now,
+                &self.operator,
+                &self.settings,
+                self.place.as_mut(),
+                &mut self.ledger,
+            );
+            self.ledger.pump(now, &mut self.next_call, out);
+            self.fleet.pump(now, &mut self.next_call, out);
+            let refused = self.ledger.take_refused();
+            if refused.is_empty() {
+                break;
+            }
+            for reply in refused {
+                self.route(now, reply, out);
+            }
+        }
+    }
+}
+
+fn refuse(out: &mut Vec<Out>, to: RequestId, status: u16, why: &str) {
+    let retry_after = (status == 503).then_some(1);
+    out.push(Out::Answer { to, status, retry_after, body: intake::problem(why) });
+}
+
+/// The state service's limits hold for all controllers together. The holder
+/// does most of the work; a tenth is left for clocks and late arrivals.
+fn holder_share(settings: &Settings) -> f64 {
+    if settings.members.is_empty() {
+        0.9
+    } else {
+        0.55
+    }
+}
+
+fn follower_share(settings: &Settings) -> f64 {
+    0.35 / settings.members.len().max(1) as f64
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,319 @@
+//! The platform's settings file (TOML) and the operator's own (INI), checked
+//! before anything starts: a value that cannot work is refused by name.
+
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Form(String, String),
+    #[error("{field}: {problem}")]
+    Value { field: String, problem: String },
+}
+
+fn bad(field: &str, problem: impl Into<String>) -> SettingsError {
+    SettingsError::Value { field: field.into(), problem: problem.into() }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub label: String,
+    pub area: String,
+    pub public_addr: SocketAddrV4,
+    pub peer_bind: SocketAddrV4,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub external: External,
+    pub params: Params,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub label: String,
+    #[serde(default)]
+    pub area: String,
+    pub addr: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct External {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Params {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub skew_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+    pub machine_limits: Limits,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    #[serde(default)]
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: f64,
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    pub cpu_share: f64,
+    pub ram_mb: f64,
+    pub max_connections: usize,
+}
+
+/// What the operators may set beyond the platform's file.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// `[fleet] idle_s`: how long a rented machine may stand idle.
+    pub idle_s: f64,
+    /// `[split] update_s`: length of one update of the split.
+    pub update_s: f64,
+    /// `[split] seed`: seed of the learner's draws; 0 takes one from the system.
+    pub seed: u64,
+    /// `[blocks] lease_s`: how long a block of machines is leased for.
+    pub block_lease_s: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator { idle_s: 40.0, update_s: 15.0, seed: 0, block_lease_s: 60.0 }
+    }
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+        Settings::parse(&name, &text)
+    }
+
+    pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings =
+            toml::from_str(text).map_err(|e| SettingsError::Form(name.into(), e.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let p = &self.params;
+        let positive = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.cloud.rps", p.cloud.rps),
+            ("params.machine_limits.cpu_share", p.machine_limits.cpu_share),
+            ("params.machine_limits.ram_mb", p.machine_limits.ram_mb),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(bad(field, format!("{value} is not a positive number")));
+            }
+        }
+        if self.label.is_empty() {
+            return Err(bad("label", "is empty"));
+        }
+        if !p.cloud.list_lag_s.is_finite() || p.cloud.list_lag_s < 0.0 {
+            return Err(bad("params.cloud.list_lag_s", "is negative or not finite"));
+        }
+        if !p.skew_ms.is_finite() || p.skew_ms < 0.0 {
+            return Err(bad("params.skew_ms", "is negative or not finite"));
+        }
+        if p.state.txn_ops < 4 {
+            return Err(bad(
+                "params.state.txn_ops",
+                "is below 4, the smallest that holds a placement",
+            ));
+        }
+        if p.machine_limits.max_connections < 32 {
+            return Err(bad("params.machine_limits.max_connections", "is below 32"));
+        }
+        if self.answer_limit_s() < p.workers.report_s {
+            return Err(bad(
+                "params.workers.cancel_s",
+                format!(
+                    "{} leaves no room above lease_s {}: a holder out of touch could not keep a cancellation",
+                    p.workers.cancel_s, p.workers.lease_s
+                ),
+            ));
+        }
+        for (i, team) in p.teams.iter().enumerate() {
+            for (what, v) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !v.is_finite() || v < 0.0 {
+                    return Err(bad(
+                        &format!("params.teams[{i}].{what}"),
+                        "is negative or not finite",
+                    ));
+                }
+            }
+        }
+        if self.members.iter().any(|m| m.label == self.label) {
+            return Err(bad("members", format!("names this controller itself, {}", self.label)));
+        }
+        Ok(())
+    }
+
+    /// H: how long a holder goes on answering workers without a successful
+    /// exchange with the state service. H + lease_s + margin < cancel_s keeps
+    /// a cancellation that the holder could not see within its time.
+    pub fn answer_limit_s(&self) -> f64 {
+        let w = &self.params.workers;
+        (w.cancel_s - w.lease_s) * 0.999 - self.margin_s()
+    }
+
+    /// Room for clock drift, late timers and answers on their way.
+    pub fn margin_s(&self) -> f64 {
+        4.0_f64.min((self.params.workers.cancel_s - self.params.workers.lease_s) * 0.2)
+    }
+
+    pub fn value_limit(&self) -> usize {
+        // A tenth is kept free for the envelope around a value.
+        (self.params.state.value_kb * 1024.0 * 0.9) as usize
+    }
+
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.params.teams.iter().position(|t| t.name == name)
+    }
+
+    /// Time the state service may keep a leader's key without a renewal.
+    pub fn leader_lease_s(&self) -> f64 {
+        (self.params.workers.lease_s * 0.25).clamp(1.5, 6.0)
+    }
+}
+
+impl Operator {
+    pub fn load(path: &Path) -> Result<Operator, SettingsError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+        Operator::parse(&name, &text)
+    }
+
+    pub fn parse(name: &str, text: &str) -> Result<Operator, SettingsError> {
+        let ini = ini::Ini::load_from_str(text)
+            .map_err(|e| SettingsError::Form(name.into(), e.to_string()))?;
+        let mut op = Operator::default();
+        for (section, entries) in ini.iter() {
+            for (key, value) in entries.iter() {
+                let field = format!("[{}] {key}", section.unwrap_or(""));
+                let range = |low: f64, high: f64| -> Result<f64, SettingsError> {
+                    let v: f64 = value
+                        .trim()
+                        .parse()
+                        .map_err(|_| bad(&field, format!("'{value}' is not a number")))?;
+                    if !(low..=high).contains(&v) {
+                        return Err(bad(&field, format!("{v} is not between {low} and {high}")));
+                    }
+                    Ok(v)
+                };
+                match (section.unwrap_or(""), key) {
+                    ("fleet", "idle_s") => op.idle_s = range(1.0, 86_400.0)?,
+                    ("split", "update_s") => op.update_s = range(1.0, 3_600.0)?,
+                    ("blocks", "lease_s") => op.block_lease_s = range(5.0, 3_600.0)?,
+                    ("split", "seed") => {
+                        op.seed = value
+                            .trim()
+                            .parse()
+                            .map_err(|_| bad(&field, format!("'{value}' is not a whole number")))?
+                    }
+                    _ => return Err(bad(&field, "is not a known setting")),
+                }
+            }
+        }
+        Ok(op)
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = include_str!("../tests/settings.toml");
+
+    #[test]
+    fn unknown_fields_pass_and_bad_ones_are_named() {
+        let s = Settings::parse("t", SAMPLE).expect("the sample is sound");
+        assert!(s.answer_limit_s() + 10.0 + 1.0 < 30.0);
+        for (from, to, names) in [
+            ("lease_s = 10.0", "lease_s = 29.0", "cancel_s"),
+            ("rps = 100.0", "rps = 0.0", "state.rps"),
+            ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
+            ("label = \"a\"\n", "", "label"),
+        ] {
+            let text = SAMPLE.replacen(from, to, 1);
+            let err = Settings::parse("t", &text).expect_err(names).to_string();
+            assert!(err.contains(names), "{err}");
+        }
+    }
+
+    #[test]
+    fn the_operators_file_is_refused_with_section_and_key() {
+        assert_eq!(Operator::parse("t", "[fleet]\nidle_s = 5\n").map(|o| o.idle_s).ok(), Some(5.0));
+        for text in ["[fleet]\nidle_s = -1\n", "[fleet]\nidle_s = soon\n", "[fleet]\nidel_s = 3\n"]
+        {
+            let err = Operator::parse("t", text).expect_err(text).to_string();
+            assert!(err.contains("[fleet] id"), "{err}");
+        }
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,137 @@
+//! CBOR bodies. Numbers are read leniently (an amount may come as an integer),
+//! and sizes are counted on the JSON form, as the protocol demands.
+
+use ciborium::Value;
+use serde::de::{DeserializeOwned, Deserializer, Visitor};
+use serde::Serialize;
+use std::fmt;
+
+/// The largest body of a request or of an answer to workers and users.
+pub const BODY_LIMIT: usize = 64 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+#[error("not a CBOR body of the expected form")]
+pub struct BadBody;
+
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    match ciborium::into_writer(value, &mut out) {
+        Ok(()) => out,
+        // Writing to memory fails only for types that cannot be serialised,
+        // and an empty map is the answer that frees nothing.
+        Err(_) => vec![0xa0],
+    }
+}
+
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, BadBody> {
+    // The nesting limit guards against bodies made to exhaust the stack.
+    ciborium::de::from_reader_with_recursion_limit(body, 32).map_err(|_| BadBody)
+}
+
+pub fn to_value<T: Serialize>(value: &T) -> Value {
+    Value::serialized(value).unwrap_or(Value::Null)
+}
+
+pub fn from_value<T: DeserializeOwned>(value: &Value) -> Result<T, BadBody> {
+    value.deserialized().map_err(|_| BadBody)
+}
+
+/// Length of the value's JSON form.
+pub fn json_len(value: &Value) -> usize {
+    match value {
+        Value::Null | Value::Bool(true) => 4,
+        Value::Bool(false) => 5,
+        Value::Integer(i) => {
+            let n: i128 = (*i).into();
+            let mut len = if n < 0 { 2 } else { 1 };
+            let mut rest = n.unsigned_abs() / 10;
+            while rest > 0 {
+                len += 1;
+                rest /= 10;
+            }
+            len
+        }
+        Value::Float(f) => serde_json::to_string(f).map_or(4, |s| s.len()),
+        Value::Text(t) => serde_json::to_string(t).map_or(t.len() + 2, |s| s.len()),
+        Value::Array(items) => 2 + items.iter().map(|v| json_len(v) + 1).sum::<usize>(),
+        Value::Map(pairs) => {
+            2 + pairs.iter().map(|(k, v)| json_len(k) + json_len(v) + 2).sum::<usize>()
+        }
+        Value::Bytes(b) => b.len() * 2 + 2,
+        _ => 8,
+    }
+}
+
+struct NumberVisitor;
+
+impl Visitor<'_> for NumberVisitor {
+    type Value = f64;
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a number")
+    }
+    fn visit_f64<E>(self, v: f64) -> Result<f64, E> {
+        Ok(v)
+    }
+    fn visit_i64<E>(self, v: i64) -> Result<f64, E> {
+        Ok(v as f64)
+    }
+    fn visit_u64<E>(self, v: u64) -> Result<f64, E> {
+        Ok(v as f64)
+    }
+}
+
+/// Reads an amount that may be written as an integer.
+pub fn amount<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
+    d.deserialize_any(NumberVisitor)
+}
+
+/// The same for a field that may be null or left out.
+pub fn amount_or_null<'de, D: Deserializer<'de>>(d: D) -> Result<Option<f64>, D::Error> {
+    struct Maybe;
+    impl<'de> Visitor<'de> for Maybe {
+        type Value = Option<f64>;
+        fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+            f.write_str("a number or null")
+        }
+        fn visit_none<E>(self) -> Result<Self::Value, E> {
+            Ok(None)
+        }
+        fn visit_unit<E>(self) -> Result<Self::Value, E> {
+            Ok(None)
+        }
+        fn visit_some<D: Deserializer<'de>>(self, d: D) -> Result<Self::Value, D::Error> {
+            amount(d).map(Some)
+        }
+    }
+    d.deserialize_option(Maybe)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{rngs::StdRng, Rng, SeedableRng};
+
+    #[test]
+    fn sizes_are_those_of_the_json_form() {
+        let value = Value::Map(vec![(Value::Text("a".into()), Value::Integer((-120).into()))]);
+        assert!(json_len(&value) >= r#"{"a":-120}"#.len());
+        assert!(json_len(&Value::Bytes(vec![0; 100])) >= 100);
+    }
+
+    #[test]
+    fn no_body_ends_the_process() {
+        let mut rng = StdRng::seed_from_u64(7);
+        let good = encode(&serde_json::json!({"nameId": "job-1", "pieces": [1, 2.5, null]}));
+        for _ in 0..5_000 {
+            let mut body = good.clone();
+            for _ in 0..rng.gen_range(1..6) {
+                let at = rng.gen_range(0..body.len());
+                body[at] = rng.gen();
+            }
+            body.truncate(rng.gen_range(0..=body.len()));
+            let _ = decode::<Value>(&body);
+        }
+        // A deeply nested body is refused, not followed.
+        assert!(decode::<Value>(&[0x81; 60_000]).is_err());
+    }
+}
