Split by slack: the paper's formulas, the learner, and what they rent

The plain rule rented room for all open work at once. Now each deadline array is split by the paper's formulas; on-demand is bought only where spot refuses.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,11 +8,12 @@
 
 use crate::http::Method;
 use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::market::{Splits, Want};
 use crate::node::{Dest, Out, Tag};
 use crate::placement::Placement;
 use crate::settings::{Operator, Settings};
-use crate::split::{self, Class, Demand, Shape};
-use crate::types::{CallId, MachineId, Stamp, Time, Token};
+use crate::split::{Class, Market, Shape};
+use crate::types::{CallId, MachineId, Stamp, Time, Token, WallMs};
 use crate::wire;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -21,6 +22,8 @@
 const RENTALS_KEY: &str = "fleet/rentals";
 const RENTALS_PREFIX: &str = "fleet/";
 const MOST_PER_RENTAL: u32 = 50;
+/// The cloud charges a machine for at least this long.
+const MIN_CHARGE_S: f64 = 60.0;
 const MOST_PER_RELEASE: usize = 100;
 
 #[derive(Deserialize)]
@@ -133,6 +136,9 @@
 struct RentalRecord {
     v: u32,
     rentals: Vec<RentalRow>,
+    /// Machines that were there before the service rented any.
+    #[serde(default)]
+    owned: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -157,6 +163,8 @@
 pub enum FleetCall {
     Read,
     Write,
+    ReadSplit,
+    WriteSplit,
 }
 
 /// What the leader keeps for one term.
@@ -179,6 +187,8 @@
     released: HashMap<MachineId, Time>,
     retry_at: Time,
     decided: Time,
+    owned: Option<Vec<MachineId>>,
+    splits: Splits,
 }
 
 pub struct Fleet {
@@ -216,7 +226,7 @@
         &self.shapes
     }
 
-    pub fn begin_term(&mut self, now: Time, token: Token) {
+    pub fn begin_term(&mut self, now: Time, token: Token, operator: &Operator) {
         self.queue.clear();
         self.term = Some(Term {
             token,
@@ -237,6 +247,8 @@
             released: HashMap::new(),
             retry_at: Time::default(),
             decided: Time::default(),
+            owned: None,
+            splits: Splits::new(operator, token, now),
         });
     }
 
@@ -262,6 +274,7 @@
     pub fn tick(
         &mut self,
         now: Time,
+        wall: WallMs,
         operator: &Operator,
         settings: &Settings,
         place: Option<&mut Placement>,
@@ -285,10 +298,13 @@
         }
         if now.since(term.decided) > 0.5 {
             term.decided = now;
-            let demands = place.demands();
+            if let Some(runs) = term.splits.runs.take() {
+                place.restore_runs(runs);
+            }
             term.watch_machines(now, self.lag_s, &self.shapes, settings, place);
-            term.decide(now, self.lag_s, &self.shapes, &demands, operator, settings, place);
+            term.decide(now, wall, self.lag_s, &self.shapes, operator, settings, place);
         }
+        term.splits.keep(now, term.token, place.runs(), settings.value_limit(), ledger);
         let ready =
             term.rentals.iter_mut().filter(|r| r.recorded && !r.flying && now >= r.retry_at);
         for r in ready {
@@ -537,6 +553,11 @@
 
     pub fn on_ledger(&mut self, now: Time, call: FleetCall, reply: Reply<Tag>) {
         let Some(term) = &mut self.term else { return };
+        match call {
+            FleetCall::ReadSplit => return term.splits.on_read(now, reply),
+            FleetCall::WriteSplit => return term.splits.on_written(now, reply),
+            FleetCall::Read | FleetCall::Write => {}
+        }
         term.record_flying = false;
         match (call, reply.outcome) {
             (FleetCall::Read, Outcome::Ok(body)) => {
@@ -548,6 +569,9 @@
                     match wire::from_value::<RentalRecord>(&p.value) {
                         Ok(r) if r.v == 1 => {
                             term.written = r.rentals.iter().map(|x| x.name.clone()).collect();
+                            term.owned.get_or_insert(
+                                r.owned.iter().filter_map(|m| MachineId::parse(m)).collect(),
+                            );
                         }
                         _ => {
                             log::error!(
@@ -585,7 +609,7 @@
                 term.record_dirty = true;
                 term.retry_at = now.plus(0.2);
             }
-            (FleetCall::Read, _) => term.retry_at = now.plus(0.3),
+            _ => term.retry_at = now.plus(0.3),
         }
     }
 }
@@ -603,16 +627,17 @@
             return;
         };
         let unrecorded = self.rentals.iter().any(|r| !r.recorded);
-        if !unrecorded {
+        if !unrecorded || self.owned.is_none() {
             return;
         }
+        let owned = self.owned.iter().flatten().map(|m| m.to_string()).collect();
         let rentals: Vec<RentalRow> = self.rentals.iter().map(|r| r.row.clone()).collect();
         self.written = rentals.iter().map(|r| r.name.clone()).collect();
         self.record_dirty = false;
         self.record_flying = true;
         let mut txn = Txn::default();
         txn.when(crate::leader::BLOCK, Stamp(self.token.0));
-        txn.write(RENTALS_KEY, stamp, wire::to_value(&RentalRecord { v: 1, rentals }), None);
+        txn.write(RENTALS_KEY, stamp, wire::to_value(&RentalRecord { v: 1, rentals, owned }), None);
         ledger.commit(now, Priority::Place, Tag::Fleet(FleetCall::Write), txn);
     }
 
@@ -654,6 +679,16 @@
             self.lists += 1;
             self.list_at = now;
             self.list_seen.clear();
+            // Before the first rental ever, all that is listed is the
+            // operators' own.
+            if self.owned.is_none() && self.record == Some(Stamp(0)) {
+                self.owned = Some(self.instances.keys().copied().collect());
+            }
+            for id in self.owned.iter().flatten() {
+                if let Some(i) = self.instances.get_mut(id) {
+                    i.owned = true;
+                }
+            }
             self.released.retain(|_, t| now.since(*t) < 120.0);
         }
     }
@@ -757,53 +792,71 @@
     fn decide(
         &mut self,
         now: Time,
+        wall: WallMs,
         lag_s: f64,
         shapes: &[Shape],
-        demands: &[Demand],
         operator: &Operator,
         settings: &Settings,
         place: &mut Placement,
     ) {
-        let mut wanted = split::plain(shapes, demands);
+        let demands = place.demands(wall);
         // Count what there is and what is on its way.
         let mut have: BTreeMap<Class, u32> = BTreeMap::new();
+        let mut up: BTreeMap<Class, u32> = BTreeMap::new();
+        let (mut owned_cpus, mut idle_owned) = (0.0, 0.0);
         for (id, i) in &self.instances {
+            let m = place.machine(*id);
             let leaving = i.release != Release::No
                 || i.status == Status::Failed
-                || place.machine(*id).is_some_and(|m| m.reclaim || m.sick);
-            if !leaving {
-                *have.entry(Class { shape: i.shape, spot: i.spot }).or_default() += 1;
+                || m.is_some_and(|m| m.reclaim || m.sick || m.slow);
+            if leaving {
+                continue;
+            }
+            let class = Class { shape: i.shape, spot: i.spot };
+            *have.entry(class).or_default() += 1;
+            if m.is_some_and(|m| m.heard.is_some()) {
+                *up.entry(class).or_default() += 1;
+            }
+            if i.owned {
+                let cpus = shapes.get(i.shape).map_or(0.0, |s| s.cpus);
+                owned_cpus += cpus;
+                if m.is_some_and(|m| m.is_empty()) {
+                    idle_owned += cpus;
+                }
             }
         }
         for r in &self.rentals {
             *have.entry(Class { shape: r.shape, spot: r.row.spot }).or_default() += r.row.count;
         }
         self.refused.retain(|_, until| *until > now);
-        // Work that may use spot machines also fits on ordinary ones: what the
-        // spot market refuses is rented there.
+        let wants = self.splits.wants(now, &demands, shapes, settings, owned_cpus);
+        let mut wanted: BTreeMap<Class, u32> = BTreeMap::new();
+        let (mut spot_wanted, mut spot_up) = (0.0, 0.0);
+        let (mut price, mut heaviest) = (1.0, 0.0);
         for (shape, s) in shapes.iter().enumerate() {
-            let spot = Class { shape, spot: true };
-            let ordinary = Class { shape, spot: false };
-            let want_spot = wanted.get(&spot).copied().unwrap_or(0);
-            let have_spot = have.get(&spot).copied().unwrap_or(0);
-            let spare = have
-                .get(&ordinary)
-                .copied()
-                .unwrap_or(0)
-                .saturating_sub(wanted.get(&ordinary).copied().unwrap_or(0));
-            let all_refused =
-                s.zones.iter().all(|z| self.refused.contains_key(&(shape, z.clone(), true)));
-            let short = want_spot.saturating_sub(have_spot);
-            if all_refused && short > 0 {
-                *wanted.entry(ordinary).or_default() += short;
-                wanted.insert(spot, have_spot);
-            } else if spare > 0 {
-                // Ordinary machines that are there anyway take part of it.
-                let take = spare.min(want_spot);
-                *wanted.entry(ordinary).or_default() += take;
-                wanted.insert(spot, want_spot - take);
+            let want = wants.get(&shape).copied().unwrap_or_default();
+            let count = |c: &BTreeMap<Class, u32>, spot| {
+                f64::from(c.get(&Class { shape, spot }).copied().unwrap_or(0))
+            };
+            let (spot, ordinary) = machines_wanted(
+                &want,
+                count(&have, true),
+                count(&have, false),
+                s.zones.iter().all(|z| self.refused.contains_key(&(shape, z.clone(), true))),
+            );
+            wanted.insert(Class { shape, spot: true }, spot);
+            wanted.insert(Class { shape, spot: false }, ordinary);
+            let weight = (want.must + want.may) * s.low_price;
+            spot_wanted += want.must + want.may;
+            spot_up += count(&up, true).min(want.must + want.may);
+            if weight > heaviest && s.rate > 0.0 {
+                heaviest = weight;
+                price = s.low_price / s.rate;
             }
         }
+        if spot_wanted > 0.0 {
+            self.splits.observe(now, Market { price, up: spot_up / spot_wanted, idle_owned });
+        }
         // After a takeover the list may not yet show what was rented before us.
         let settled = self.lists > 0 && now.since(self.began) > lag_s * 2.0 + 1.0;
         if settled {
@@ -889,19 +942,27 @@
         }
         let mut out = Vec::new();
         for (id, i) in &mut self.instances {
-            let class = Class { shape: i.shape, spot: i.spot };
-            let Some(n) = over.get_mut(&class).filter(|n| **n > 0) else { continue };
             let Some(m) = place.machine(*id) else { continue };
-            let idle = m.is_empty() && now.since(m.idle_since) > operator.idle_s;
-            if i.owned
-                || i.release != Release::No
-                || !idle
-                || now.since(self.began) < operator.idle_s
-            {
+            if i.release != Release::No || !m.is_empty() {
                 continue;
             }
-            *n -= 1;
-            log::info!("returning {id}: idle");
+            let class = Class { shape: i.shape, spot: i.spot };
+            let why = if m.slow {
+                "slow"
+            } else {
+                let Some(n) = over.get_mut(&class).filter(|n| **n > 0) else { continue };
+                // A rented machine stays a whole update, and at least as long
+                // as it is charged for anyway.
+                let stay = operator.update_s.max(if i.owned { operator.idle_s } else { 0.0 });
+                let fresh = !i.owned && now.since(i.rented) < MIN_CHARGE_S - 3.0;
+                let idle = if i.spot { operator.idle_s.max(stay) } else { stay };
+                if fresh || now.since(m.idle_since) < idle || now.since(self.began) < idle {
+                    continue;
+                }
+                *n -= 1;
+                "idle"
+            };
+            log::info!("returning {id}: {why}");
             i.release = Release::Wanted;
             out.push(*id);
         }
@@ -910,3 +971,46 @@
         }
     }
 }
+
+/// Spot and ordinary machines to have of one type.
+///
+/// What must be had is bought ordinary only where spot is refused and what is
+/// there, beyond the room that other work holds, does not reach.
+fn machines_wanted(want: &Want, have_spot: f64, have_ordinary: f64, refused: bool) -> (u32, u32) {
+    let up = |x: f64| (x - 1e-6).ceil().max(0.0);
+    let bound = up(want.ordinary);
+    let spare = (have_ordinary - bound).max(0.0);
+    let pool = up(want.must + want.may + want.ready);
+    let spot = (pool - spare).max(0.0);
+    let pressed = up(want.must + want.busy);
+    if refused && have_spot + spare < pressed {
+        return (have_spot as u32, (bound + pressed - have_spot) as u32);
+    }
+    // Ordinary machines stay as long as spot ones do not reach.
+    let keep = (pressed - have_spot).clamp(0.0, spare);
+    (spot as u32, (bound + keep) as u32)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn want(must: f64, may: f64, ready: f64, ordinary: f64, busy: f64) -> Want {
+        Want { must, may, ready, ordinary, busy }
+    }
+
+    #[test]
+    fn ordinary_machines_are_bought_only_where_spot_is_refused() {
+        assert_eq!(machines_wanted(&want(2.5, 4.0, 0.0, 0.0, 0.0), 0.0, 0.0, false), (7, 0));
+        assert_eq!(machines_wanted(&want(2.5, 4.0, 0.0, 0.0, 0.0), 2.0, 0.0, true), (2, 1));
+        // What other work holds does not help what must be had.
+        assert_eq!(machines_wanted(&want(2.0, 4.0, 0.0, 0.0, 2.0), 2.0, 0.0, true), (2, 2));
+        assert_eq!(machines_wanted(&want(0.0, 4.0, 0.0, 0.0, 2.0), 2.0, 0.0, true), (4, 0));
+    }
+
+    #[test]
+    fn ordinary_machines_that_are_there_take_part_of_the_work() {
+        assert_eq!(machines_wanted(&want(0.0, 4.0, 0.0, 1.0, 0.0), 0.0, 3.0, false), (2, 1));
+        assert_eq!(machines_wanted(&want(0.0, 0.0, 0.0, 0.0, 0.0), 3.0, 3.0, false), (0, 0));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod leader;
 pub mod ledger;
+pub mod market;
 pub mod net;
 pub mod node;
 pub mod peers;
--- /dev/null
+++ b/src/market.rs
@@ -0,0 +1,373 @@
+//! The split at work: a pair for every deadline array, the market as it was
+//! seen, the learner's weights, and from all that the machines wanted.
+//!
+//! Extended in the design's spirit, see `docs/design.md`: a class whose aim
+//! bounds its finish has that bound as its deadline; the on-demand share is
+//! room that must be had, bought dear only where the spot market refuses; and
+//! tasks follow each other on one place as far as their deadline allows, since
+//! a boot costs as much as a task.
+
+use crate::fleet::FleetCall;
+use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::node::Tag;
+use crate::settings::{Operator, Settings};
+use crate::split::{self, Demand, Learner, Market, Past, Shape};
+use crate::types::{JobId, Stamp, Time, Token};
+use crate::wire;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+const KEY: &str = "split/now";
+pub const PREFIX: &str = "split/";
+/// Slots of one update.
+const LEN: f64 = 3.0;
+/// Updates of the market that are remembered for replays.
+const HISTORY: usize = 240;
+/// Seconds over which the width of a waiting class is watched.
+const WATCH_S: f64 = 150.0;
+
+#[derive(Serialize, Deserialize)]
+struct Record {
+    v: u32,
+    weights: Vec<f64>,
+    /// job -> (pair, owned width)
+    splits: BTreeMap<String, (usize, f64)>,
+    /// class -> run time over estimate
+    runs: BTreeMap<String, f64>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    pair: usize,
+    owned: f64,
+    past: Past,
+    began: Time,
+    alive: bool,
+}
+
+/// Machines wanted of one type.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Want {
+    /// Room that must be had, on whichever kind.
+    pub must: f64,
+    /// Room worth having at the spot price.
+    pub may: f64,
+    /// Room that spot machines cannot give.
+    pub ordinary: f64,
+    /// Room that placed tasks hold beyond what must be had.
+    pub busy: f64,
+    /// Room held ready for a class that may not wait.
+    pub ready: f64,
+}
+
+pub struct Splits {
+    learner: Learner,
+    rng: SmallRng,
+    slot_s: f64,
+    update_s: f64,
+    jobs: BTreeMap<JobId, Held>,
+    market: VecDeque<(Time, Market)>,
+    updated: Time,
+    began: Time,
+    longest: f64,
+    record: Option<Stamp>,
+    flying: bool,
+    dirty: bool,
+    retry_at: Time,
+    widths: BTreeMap<String, VecDeque<(Time, f64)>>,
+    restored: BTreeMap<JobId, (usize, f64)>,
+    /// The latest job of each class that may not wait.
+    typical: BTreeMap<String, Demand>,
+    /// Run times that an earlier leader had learned, until taken.
+    pub runs: Option<BTreeMap<String, f64>>,
+}
+
+impl Splits {
+    pub fn new(operator: &Operator, token: Token, now: Time) -> Splits {
+        let seed = if operator.seed == 0 { rand::random() } else { operator.seed ^ token.0 };
+        Splits {
+            learner: Learner::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            slot_s: operator.update_s / LEN,
+            update_s: operator.update_s,
+            jobs: BTreeMap::new(),
+            market: VecDeque::new(),
+            updated: Time::default(),
+            began: now,
+            longest: 0.0,
+            record: None,
+            flying: false,
+            dirty: false,
+            retry_at: Time::default(),
+            widths: BTreeMap::new(),
+            restored: BTreeMap::new(),
+            typical: BTreeMap::new(),
+            runs: None,
+        }
+    }
+
+    /// The bound on a class's finish that its aims state, tightest first.
+    fn aim_due(settings: &Settings, class: &str) -> Option<f64> {
+        let aims = settings.params.objectives.iter();
+        let bounds = aims.filter(|o| o.kind == "finished" && o.class == class && o.within_s > 0.0);
+        bounds.map(|o| o.within_s).min_by(f64::total_cmp)
+    }
+
+    fn aim_wait(settings: &Settings, class: &str) -> Option<f64> {
+        let aims = settings.params.objectives.iter();
+        let bounds = aims.filter(|o| o.kind == "wait" && o.class == class && o.within_s > 0.0);
+        bounds.map(|o| o.within_s).min_by(f64::total_cmp)
+    }
+
+    /// What the market showed since the last update.
+    pub fn observe(&mut self, now: Time, market: Market) {
+        if now.since(self.updated) < self.update_s {
+            return;
+        }
+        self.updated = now;
+        self.market.push_back((now, market));
+        if self.market.len() > HISTORY {
+            self.market.pop_front();
+        }
+        // A job is replayed once the longest deadline has passed since it came.
+        let t = now.since(self.began) / self.slot_s;
+        let (longest, slot_s) = (self.longest, self.slot_s);
+        let due: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, h)| now.since(h.began) / slot_s > longest)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let Some(held) = self.jobs.get(&id) else { continue };
+            let end = held.began.plus(held.past.d * slot_s);
+            let seen: Vec<Market> = self
+                .market
+                .iter()
+                .filter(|(at, _)| *at >= held.began && *at <= end.plus(self.update_s))
+                .map(|(_, m)| *m)
+                .collect();
+            if held.past.d > 0.0 && !seen.is_empty() {
+                self.learner.learn(&held.past, LEN, &seen, t, longest);
+            }
+            if let Some(h) = self.jobs.get_mut(&id) {
+                if h.alive {
+                    // Learned from, but still to be split: never again replayed.
+                    h.past.d = 0.0;
+                }
+            }
+        }
+        self.jobs.retain(|_, h| h.alive || now.since(h.began) / slot_s <= longest);
+        self.dirty = true;
+    }
+
+    /// The wanted room per type, in machines.
+    pub fn wants(
+        &mut self,
+        now: Time,
+        demands: &[Demand],
+        shapes: &[Shape],
+        settings: &Settings,
+        owned_cpus: f64,
+    ) -> BTreeMap<usize, Want> {
+        let mut wants: BTreeMap<usize, Want> = BTreeMap::new();
+        let exclusive = split::exclusive_types(shapes, demands);
+        // Owned room that no open job holds over its window.
+        let mut owned_left = owned_cpus;
+        for d in demands {
+            if let Some(h) = self.jobs.get(&d.job) {
+                owned_left -= h.owned * d.need.cpus;
+            }
+        }
+        let mut widths: BTreeMap<String, f64> = BTreeMap::new();
+        self.jobs.values_mut().for_each(|h| h.alive = false);
+        for d in demands {
+            let Some((shape, fit)) = split::cheapest(shapes, d, &exclusive) else { continue };
+            let Some(s) = shapes.get(shape) else { continue };
+            let want = wants.entry(shape).or_default();
+            let fit_f = f64::from(fit.max(1));
+            let left = f64::from(d.left);
+            let wait = Self::aim_wait(settings, &d.class);
+            if wait.is_some() {
+                *widths.entry(d.class.clone()).or_default() += left;
+                self.typical.insert(d.class.clone(), d.clone());
+            }
+            if !d.spot {
+                want.ordinary += left / fit_f;
+                continue;
+            }
+            let due = match (d.due_s, Self::aim_due(settings, &d.class)) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
+            let Some(due) = due.filter(|_| d.deadline_array) else {
+                // Without deadline: room whole, in arrival order.
+                want.must += left / fit_f;
+                continue;
+            };
+            let window = due - d.age_s;
+            let fetch = if s.fetch_gb_per_s > 0.0 { d.image_gb / s.fetch_gb_per_s } else { 0.0 };
+            let setup = s.boot_s * 1.2 + fetch;
+            let held = self.held(now, d, window, &mut owned_left);
+            let beta = self.learner.pair(held.0).1;
+            let y = left * d.run_s / self.slot_s;
+            // Boots eat the tail: what is not yet on a machine has less time.
+            let waiting = f64::from(d.left.saturating_sub(d.placed));
+            let reach = if waiting > 0.0 { window - setup } else { window };
+            let parts = split::split(left, y, reach / self.slot_s, LEN, beta, held.1);
+            // One place serves several tasks in turn as far as time allows; a
+            // class that may not wait has all its places at once.
+            let turns = match wait {
+                Some(_) => 1.0,
+                None => split::rounds(window - fetch - s.boot_s * 0.5, d.run_s * 1.15),
+            };
+            let places = (left / turns).ceil().max(f64::from(d.placed).min(left));
+            let late = window < d.run_s * 0.5;
+            let must = if late { 0.0 } else { parts.ordinary.min(places) };
+            want.must += must / fit_f;
+            want.busy += (f64::from(d.placed).min(left) - must).max(0.0) / fit_f;
+            want.may += (places - must).max(0.0) / fit_f;
+        }
+        let waiting: Vec<String> = settings
+            .params
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait")
+            .map(|o| o.class.clone())
+            .collect();
+        for class in waiting {
+            let current = widths.get(&class).copied().unwrap_or(0.0);
+            let seen = self.widths.entry(class.clone()).or_default();
+            if seen.back().is_none_or(|(at, _)| now.since(*at) >= 1.0) {
+                seen.push_back((now, current));
+            }
+            while seen.front().is_some_and(|(at, _)| now.since(*at) > WATCH_S) {
+                seen.pop_front();
+            }
+            let Some(d) = self.typical.get(&class) else { continue };
+            let Some((shape, fit)) = split::cheapest(shapes, d, &exclusive) else { continue };
+            let mut sorted: Vec<f64> = seen.iter().map(|(_, w)| *w).collect();
+            sorted.sort_by(f64::total_cmp);
+            let high = sorted.get(sorted.len() * 9 / 10).copied().unwrap_or(0.0);
+            if high > current {
+                wants.entry(shape).or_default().ready += (high - current) / f64::from(fit.max(1));
+            }
+        }
+        wants
+    }
+
+    /// The job's pair and owned share, drawn on arrival.
+    fn held(&mut self, now: Time, d: &Demand, window: f64, owned_left: &mut f64) -> (usize, f64) {
+        if let Some(h) = self.jobs.get_mut(&d.job) {
+            h.alive = true;
+            return (h.pair, h.owned);
+        }
+        let z = f64::from(d.left) * d.run_s / self.slot_s;
+        let slots = (window / self.slot_s).max(0.0);
+        let (pair, owned) = match self.restored.remove(&d.job) {
+            Some(r) => r,
+            None => {
+                let pair = self.learner.draw(self.rng.gen());
+                let beta0 = self.learner.pair(pair).0;
+                let idle = if d.need.cpus > 0.0 { owned_left.max(0.0) / d.need.cpus } else { 0.0 };
+                (pair, split::owned_share(f64::from(d.left), z, slots, LEN, beta0, idle))
+            }
+        };
+        *owned_left -= owned * d.need.cpus;
+        self.longest = self.longest.max(slots.min(720.0));
+        let past = Past { delta: f64::from(d.left), z, d: slots };
+        self.jobs.insert(d.job, Held { pair, owned, past, began: now, alive: true });
+        self.dirty = true;
+        (pair, owned)
+    }
+
+    /// One batched value per update holds weights and splits.
+    pub fn keep(
+        &mut self,
+        now: Time,
+        token: Token,
+        runs: &BTreeMap<String, f64>,
+        limit: usize,
+        ledger: &mut Ledger<Tag>,
+    ) {
+        if self.flying || now < self.retry_at {
+            return;
+        }
+        let Some(stamp) = self.record else {
+            self.flying = true;
+            ledger.scan(now, Priority::Rest, Tag::Fleet(FleetCall::ReadSplit), PREFIX, None);
+            return;
+        };
+        if !self.dirty {
+            return;
+        }
+        self.dirty = false;
+        self.flying = true;
+        self.retry_at = now.plus(self.update_s);
+        // Thirty bytes a job: beyond the limit the rest draw anew after a
+        // change of leader.
+        let most = limit.saturating_sub(1_024) / 40;
+        let alive = self.jobs.iter().filter(|(_, h)| h.alive).take(most);
+        let round = |w: f64| (w * 1e6).round() / 1e6;
+        let record = Record {
+            v: 1,
+            weights: self.learner.weights().into_iter().map(round).collect(),
+            splits: alive.map(|(id, h)| (id.to_string(), (h.pair, h.owned))).collect(),
+            runs: runs.iter().take(16).map(|(c, f)| (c.clone(), round(*f))).collect(),
+        };
+        let mut txn = Txn::default();
+        txn.when(crate::leader::BLOCK, Stamp(token.0));
+        txn.write(KEY, stamp, wire::to_value(&record), None);
+        ledger.commit(now, Priority::Rest, Tag::Fleet(FleetCall::WriteSplit), txn);
+    }
+
+    pub fn on_read(&mut self, now: Time, reply: Reply<Tag>) {
+        self.flying = false;
+        let Outcome::Ok(body) = reply.outcome else {
+            self.retry_at = now.plus(0.5);
+            return;
+        };
+        let Ok(scan) = wire::decode::<Scan>(&body) else { return };
+        let found = scan.pairs.iter().find(|p| p.path == KEY);
+        self.record = Some(Stamp(found.map_or(0, |p| p.stamp)));
+        let Some(found) = found else { return };
+        match wire::from_value::<Record>(&found.value) {
+            Ok(r) if r.v == 1 => {
+                if !self.learner.restore(&r.weights) {
+                    log::info!("stored weights are for another grid; learning begins anew");
+                }
+                for (id, split) in r.splits {
+                    if let Some(id) = JobId::parse(&id) {
+                        self.restored.insert(id, split);
+                    }
+                }
+                self.runs.get_or_insert(r.runs);
+            }
+            _ => {
+                log::error!("{KEY} has an unknown form or version; splits are not stored");
+                self.retry_at = now.plus(1e6);
+                self.record = None;
+            }
+        }
+    }
+
+    pub fn on_written(&mut self, now: Time, reply: Reply<Tag>) {
+        self.flying = false;
+        match reply.outcome {
+            Outcome::Ok(body) => {
+                self.record = wire::decode::<Committed>(&body).ok().map(|c| Stamp(c.rev))
+            }
+            Outcome::Refused => {
+                self.dirty = true;
+                self.retry_at = now.plus(1.0);
+            }
+            // Lost or changed: read its stamp again.
+            _ => {
+                self.dirty = true;
+                self.record = None;
+            }
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -325,7 +325,7 @@
             }
             Standing::Took { token, own_predecessor } => {
                 self.place = Some(Placement::new(&self.settings, token, now, own_predecessor));
-                self.fleet.begin_term(now, token);
+                self.fleet.begin_term(now, token, &self.operator);
                 self.ledger.set_share(holder_share(&self.settings));
                 self.nudged.clear();
                 self.book.want_refresh();
@@ -427,6 +427,7 @@
             }
             self.fleet.tick(
                 now,
+                wall,
                 &self.operator,
                 &self.settings,
                 self.place.as_mut(),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -119,6 +119,9 @@
     errors: u32,
     error_jobs: HashSet<JobId>,
     pub sick: bool,
+    /// Run times here over those expected, and how many tell so.
+    pace: (f64, u32),
+    pub slow: bool,
 }
 
 impl Machine {
@@ -142,6 +145,8 @@
             errors: 0,
             error_jobs: HashSet::new(),
             sick: false,
+            pace: (1.0, 0),
+            slow: false,
         }
     }
     pub fn is_empty(&self) -> bool {
@@ -287,6 +292,8 @@
     next_attempt: u64,
     teams: Vec<(f64, f64, f64, f64)>,
     team_names: Vec<String>,
+    /// class -> run time over estimate
+    runs: BTreeMap<String, f64>,
 }
 
 impl Placement {
@@ -317,6 +324,7 @@
             planned_at: Time::default(),
             replan: true,
             next_attempt: token.0 << 20,
+            runs: BTreeMap::new(),
             team_names: settings.params.teams.iter().map(|t| t.name.clone()).collect(),
             teams: settings
                 .params
@@ -359,23 +367,36 @@
     }
 
     /// Open work for the fleet.
-    pub fn demands(&self) -> Vec<Demand> {
-        let mut room: HashMap<&str, f64> = HashMap::new();
+    pub fn demands(&self, wall: WallMs) -> Vec<Demand> {
         let mut out = Vec::new();
         for (id, job) in &self.jobs {
             if job.state != JobState::Open || job.complete() {
                 continue;
             }
+            let left = job.spec.tasks - job.progress.count().min(job.spec.tasks);
             // A job that fails everywhere earns no machines while it waits.
-            let width = job.spec.tasks - job.progress.count().min(job.spec.tasks);
-            let width =
-                if job.errors > 3 && job.progress.count() == 0 { width.min(1) } else { width };
-            let used = room.entry(job.spec.team.as_str()).or_insert(0.0);
-            *used += f64::from(width) * job.spec.cpus;
+            let left = if job.errors > 3 && job.progress.count() == 0 { left.min(1) } else { left };
+            // Above its team's limit nothing of it can run.
+            let limit =
+                self.team_names.iter().position(|n| *n == job.spec.team).map(|t| self.teams[t].1);
+            let most = match limit {
+                Some(cpus) if cpus > 0.0 && job.spec.cpus > 0.0 => {
+                    (cpus / job.spec.cpus + EPSILON) as u32
+                }
+                _ => u32::MAX,
+            };
+            let busy = job.live.keys().filter(|i| !job.progress.has(**i)).count() as u32;
             out.push(Demand {
                 job: *id,
+                class: job.spec.class.clone(),
                 need: job.need(),
-                width,
+                left: left.min(most),
+                placed: busy.min(most),
+                run_s: job.spec.expect_s * self.run_factor(&job.spec.class),
+                age_s: age_s(wall, &job.spec),
+                due_s: job.spec.due_s,
+                image_gb: job.spec.image_gb,
+                deadline_array: job.spec.kind == JobKind::Batch,
                 spot: job.spec.spot,
                 shapes: job.spec.shapes.clone(),
                 zone: job.spec.zone.clone(),
@@ -384,6 +405,23 @@
         out
     }
 
+    /// How far runs of a class were from their estimates.
+    fn run_factor(&self, class: &str) -> f64 {
+        self.runs.get(class).copied().unwrap_or(1.0)
+    }
+
+    pub fn runs(&self) -> &BTreeMap<String, f64> {
+        &self.runs
+    }
+
+    pub fn restore_runs(&mut self, runs: BTreeMap<String, f64>) {
+        for (class, factor) in runs {
+            if factor.is_finite() && factor > 0.0 {
+                self.runs.entry(class).or_insert(factor.clamp(0.2, 5.0));
+            }
+        }
+    }
+
     // ---- jobs ----
 
     pub fn sync_job(&mut self, now: Time, id: JobId, book: &JobBook) {
@@ -641,6 +679,7 @@
         let service = self.jobs.get(&task.job).is_some_and(|j| j.spec.kind == JobKind::Standing);
         match cause {
             Some("done") => {
+                self.learn_run(now, id, task);
                 self.succeeded(id, task.job);
                 self.end(now, id, task, !service, 1.0);
             }
@@ -664,6 +703,30 @@
         }
     }
 
+    /// Run times correct the estimates of a class, and tell slow machines.
+    fn learn_run(&mut self, now: Time, id: MachineId, task: TaskId) {
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else { return };
+        let started = self.entry(id, task).and_then(|e| e.started);
+        let Some(ran) = started.map(|s| now.since(s) + self.report_s * 0.25) else { return };
+        if spec.expect_s < 1.0 || ran < self.report_s {
+            return;
+        }
+        let ratio = (ran / spec.expect_s).clamp(0.1, 10.0);
+        let factor = self.runs.entry(spec.class.clone()).or_insert(1.0);
+        let relative = ratio / *factor;
+        // Geometric, since estimates are off by factors; slowly, since one job
+        // brings many tasks that share its error.
+        *factor = (*factor * relative.powf(0.03)).clamp(0.2, 5.0);
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.pace.0 *= (relative / m.pace.0).powf(0.4);
+            m.pace.1 += 1;
+            if m.pace.1 >= 3 && m.pace.0 > 2.0 && !m.slow {
+                log::info!("{id} takes {:.1} times as long as others and is set aside", m.pace.0);
+                m.slow = true;
+            }
+        }
+    }
+
     fn succeeded(&mut self, id: MachineId, job: JobId) {
         if let Some(m) = self.machines.get_mut(&id) {
             m.errors = 0;
@@ -1147,7 +1210,7 @@
             }
             let alive = m.heard.is_some_and(|h| now.since(h) < self.report_s * 2.0 + 1.0);
             if let Some(shape) = m.shape {
-                if alive && m.synced && !m.reclaim && !m.draining && !m.sick {
+                if alive && m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow {
                     rooms.push(Room {
                         id: *id,
                         shape,
@@ -1159,14 +1222,19 @@
             }
         }
         let mut order: Vec<(u8, bool, bool, f64, JobId)> = Vec::new();
+        let runs = &self.runs;
         for (id, j) in &self.jobs {
             if j.state != JobState::Open || j.hold_until > now || j.waiting() == 0 {
                 continue;
             }
-            let age = wall.0 as f64 / 1e3 - j.spec.submitted as f64 / 1e3;
+            let run_s = j.spec.expect_s * runs.get(&j.spec.class).copied().unwrap_or(1.0);
+            let age = age_s(wall, &j.spec);
             let left = j.spec.due_s.map_or(-age, |d| d - age);
-            // A job that can no longer make its deadline lets those pass that can.
-            let late = j.spec.due_s.is_some() && left < j.spec.expect_s * 0.7;
+            // A job that can no longer make its deadline lets those pass that
+            // can; among the late the longest goes first, so that none drags
+            // on alone at the end.
+            let late = j.spec.due_s.is_some() && left < run_s * 0.7;
+            let left = if late { -run_s } else { left };
             let over = settings.team(&j.spec.team).is_some_and(|t| {
                 self.teams[t].0 > 0.0 && team_used[t].0 + j.spec.cpus > self.teams[t].0
             });
@@ -1551,3 +1619,8 @@
         hold_until: now,
     }
 }
+
+/// Seconds since the submission, by the time of day.
+fn age_s(wall: WallMs, spec: &JobSpec) -> f64 {
+    (wall.0 as f64 - spec.submitted as f64) / 1e3
+}
