--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,7 +16,7 @@
 use crate::types::{CallId, MachineId, Stamp, Time, Token, WallMs};
 use crate::wire;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
 const RENTALS_KEY: &str = "fleet/rentals";
@@ -174,7 +174,7 @@
     instances: BTreeMap<MachineId, Instance>,
     rentals: Vec<Rental>,
     next_rental: u64,
-    refused: HashMap<(usize, String, bool), Time>,
+    refused: BTreeMap<(usize, String, bool), Time>,
     record: Option<Stamp>,
     record_flying: bool,
     record_dirty: bool,
@@ -184,7 +184,7 @@
     list_after: Option<String>,
     list_seen: Vec<MachineId>,
     lists: u32,
-    released: HashMap<MachineId, Time>,
+    released: BTreeMap<MachineId, Time>,
     retry_at: Time,
     decided: Time,
     owned: Option<Vec<MachineId>>,
@@ -200,7 +200,7 @@
     flavors_flying: bool,
     flavors_at: Option<Time>,
     flavors_retry: Time,
-    calls: HashMap<CallId, CloudCall>,
+    calls: BTreeMap<CallId, CloudCall>,
     queue: VecDeque<CloudCall>,
     term: Option<Term>,
 }
@@ -216,7 +216,7 @@
             flavors_flying: false,
             flavors_at: None,
             flavors_retry: Time::default(),
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             queue: VecDeque::new(),
             term: None,
         }
@@ -234,7 +234,7 @@
             instances: BTreeMap::new(),
             rentals: Vec::new(),
             next_rental: 0,
-            refused: HashMap::new(),
+            refused: BTreeMap::new(),
             record: None,
             record_flying: false,
             record_dirty: false,
@@ -244,7 +244,7 @@
             list_after: None,
             list_seen: Vec::new(),
             lists: 0,
-            released: HashMap::new(),
+            released: BTreeMap::new(),
             retry_at: Time::default(),
             decided: Time::default(),
             owned: None,
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -14,7 +14,7 @@
 use crate::wire;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 const MOST_TASKS: u64 = 100_000;
@@ -194,12 +194,12 @@
 #[derive(Default)]
 pub struct Intake {
     waiters: VecDeque<Waiter>,
-    accepts: HashMap<JobId, Accept>,
+    accepts: BTreeMap<JobId, Accept>,
     order: VecDeque<JobId>,
-    cancels: HashMap<JobId, Cancel>,
+    cancels: BTreeMap<JobId, Cancel>,
     accepts_flying: usize,
     /// What the holder last told us of jobs' progress; for display only.
-    pub shown: HashMap<JobId, Counts>,
+    pub shown: BTreeMap<JobId, Counts>,
 }
 
 pub trait Context {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -12,7 +12,7 @@
 use crate::wire;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 pub const PREFIX: &str = "j/";
@@ -152,7 +152,7 @@
 
 #[derive(Default)]
 pub struct JobBook {
-    entries: HashMap<JobId, Entry>,
+    entries: BTreeMap<JobId, Entry>,
     rev: u64,
     loaded: bool,
     fresh: Option<Time>,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -11,7 +11,7 @@
 use crate::wire;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Order of importance when the rate limits leave room for some only.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -223,7 +223,7 @@
     full: (f64, f64),
     txn_ops: usize,
     queues: [VecDeque<Queued<T>>; PRIORITIES],
-    flying: HashMap<CallId, (T, Time)>,
+    flying: BTreeMap<CallId, (T, Time)>,
     refused: Vec<Reply<T>>,
     last_ok: Option<Time>,
 }
@@ -237,7 +237,7 @@
             full: (s.rps, s.write_rps),
             txn_ops: s.txn_ops,
             queues: Default::default(),
-            flying: HashMap::new(),
+            flying: BTreeMap::new(),
             refused: Vec::new(),
             last_ok: None,
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use crate::types::{CallId, JobId, MachineId, RequestId, Time, WallMs};
 use crate::wire;
 use serde::Serialize;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -97,8 +97,8 @@
     peers: Peers,
     next_call: u64,
     /// Workers we told of our token directly, and when.
-    nudged: HashMap<MachineId, Time>,
-    nudges: HashMap<CallId, MachineId>,
+    nudged: BTreeMap<MachineId, Time>,
+    nudges: BTreeMap<CallId, MachineId>,
     started: Time,
 }
 
@@ -115,8 +115,8 @@
             fleet: Fleet::new(&settings),
             peers: Peers::default(),
             next_call: 0,
-            nudged: HashMap::new(),
-            nudges: HashMap::new(),
+            nudged: BTreeMap::new(),
+            nudges: BTreeMap::new(),
             started: now,
             settings,
             operator,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
 use crate::wire;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -117,7 +117,7 @@
     pub idle_since: Time,
     page: usize,
     errors: u32,
-    error_jobs: HashSet<JobId>,
+    error_jobs: BTreeSet<JobId>,
     pub sick: bool,
     /// Run times here over those expected, and how many tell so.
     pace: (f64, u32),
@@ -143,7 +143,7 @@
             idle_since: now,
             page: 0,
             errors: 0,
-            error_jobs: HashSet::new(),
+            error_jobs: BTreeSet::new(),
             sick: false,
             pace: (1.0, 0),
             slow: false,
@@ -176,9 +176,9 @@
     next_fresh: u32,
     retry: BTreeMap<u32, Time>,
     /// Tasks with an entry or a ghost somewhere, and how many.
-    live: HashMap<u32, u32>,
+    live: BTreeMap<u32, u32>,
     errors: u32,
-    error_machines: HashSet<MachineId>,
+    error_machines: BTreeSet<MachineId>,
     hold_until: Time,
 }
 
@@ -568,11 +568,11 @@
         ours: bool,
         report: &Report,
     ) {
-        let listed: HashMap<TaskId, (&Piece, Attempt)> = report
+        let listed: BTreeMap<TaskId, (&Piece, Attempt)> = report
             .pieces
             .iter()
             .filter_map(|p| Some((TaskId::parse(&p.piece)?, (p, Attempt(p.attempt)))))
-            .fold(HashMap::new(), |mut map, (t, v)| {
+            .fold(BTreeMap::new(), |mut map, (t, v)| {
                 // The same task may stand there with several attempts; one that
                 // has not exited is the one that counts.
                 let live = v.0.status != "exited";
@@ -1173,7 +1173,7 @@
 
     fn plan(&mut self, now: Time, wall: WallMs, settings: &Settings, shapes: &[Shape]) {
         let mut team_used = vec![(0.0, 0.0); self.teams.len()];
-        let mut zones: HashMap<JobId, BTreeMap<String, u32>> = HashMap::new();
+        let mut zones: BTreeMap<JobId, BTreeMap<String, u32>> = BTreeMap::new();
         struct Room {
             id: MachineId,
             shape: usize,
@@ -1613,9 +1613,9 @@
         progress: Progress::default(),
         next_fresh: 0,
         retry: BTreeMap::new(),
-        live: HashMap::new(),
+        live: BTreeMap::new(),
         errors: 0,
-        error_machines: HashSet::new(),
+        error_machines: BTreeSet::new(),
         hold_until: now,
     }
 }
--- /dev/null
+++ b/tests/sim/mod.rs
@@ -0,0 +1,717 @@
+//! A whole cluster in simulated time: controllers as they are, and stand-ins
+//! for the state service, the cloud, the workers and the users, written from
+//! the protocol. After every step the protocol's rules are checked against
+//! what really is on the machines, not against what the controllers believe.
+
+pub mod cloud;
+pub mod state;
+pub mod worker;
+
+use beamhinge::http::{Method, Request};
+use beamhinge::node::{Dest, Node, Out};
+use beamhinge::peers;
+use beamhinge::settings::{Operator, Settings};
+use beamhinge::types::{CallId, RequestId, Time, WallMs};
+use beamhinge::wire;
+use cloud::Cloud;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use state::State;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use worker::Worker;
+
+pub type Reply = Option<(u16, Vec<u8>)>;
+
+/// Microseconds of simulated time.
+pub type Us = u64;
+pub const SECOND: Us = 1_000_000;
+
+pub fn decode(body: &[u8]) -> Value {
+    let value: ciborium::Value = wire::decode(body).expect("the stand-ins are sent CBOR");
+    value.deserialized().expect("CBOR that JSON can say")
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Tick(usize, u64),
+    ToState {
+        node: usize,
+        life: u64,
+        call: CallId,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        quiet: bool,
+    },
+    ToCloud {
+        node: usize,
+        life: u64,
+        call: CallId,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+    },
+    ToWorker {
+        node: usize,
+        life: u64,
+        call: CallId,
+        machine: u64,
+        body: Vec<u8>,
+    },
+    ToNode {
+        node: usize,
+        life: u64,
+        call: CallId,
+        reply: Reply,
+    },
+    Watch,
+    Report {
+        machine: u64,
+    },
+    ReportArrives {
+        machine: u64,
+        node: usize,
+        serial: u64,
+        body: Vec<u8>,
+    },
+    ReportAnswered {
+        machine: u64,
+        serial: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
+    ReportTimedOut {
+        machine: u64,
+        serial: u64,
+    },
+    WorkerStep {
+        machine: u64,
+    },
+    UserSends {
+        job: String,
+        what: What,
+        since: Us,
+    },
+    UserGivesUp {
+        request: u64,
+    },
+    Frame {
+        to: usize,
+        life: u64,
+        body: Vec<u8>,
+    },
+    Script(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+#[derive(Clone, Debug)]
+pub struct JobPlan {
+    pub body: Value,
+    pub run_s: f64,
+    pub fails: bool,
+}
+
+#[derive(Default, Debug)]
+pub struct Told {
+    pub accepted: bool,
+    pub done: bool,
+    pub cancelled: Option<Us>,
+    pub asked_cancel: bool,
+    pub last_status: String,
+    pub final_status: Option<u16>,
+    pub submitted: bool,
+}
+
+enum Caller {
+    User { job: String, what: What, since: Us },
+    Worker { machine: u64, serial: u64 },
+}
+
+#[derive(Default, Clone, Copy)]
+pub struct Doubles {
+    /// Workers leave running tasks out of their reports.
+    pub hide_tasks: bool,
+    /// Workers do not kill what they are told to.
+    pub deaf_to_kill: bool,
+    /// The state service forgets jobs after a while.
+    pub forgets_jobs: bool,
+    /// Workers report tasks done that still run.
+    pub early_done: bool,
+}
+
+pub struct Sim {
+    pub now: Us,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(Us, u64)>>,
+    events: BTreeMap<u64, Event>,
+    pub rng: StdRng,
+    pub settings: Vec<Settings>,
+    nodes: Vec<Option<Node>>,
+    lives: Vec<u64>,
+    pub state: State,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<u64, Worker>,
+    pub jobs: BTreeMap<String, JobPlan>,
+    pub told: BTreeMap<String, Told>,
+    callers: BTreeMap<(usize, u64), Caller>,
+    next_request: u64,
+    pub broken: BTreeSet<String>,
+    pub started: u64,
+    pub cuts: BTreeMap<(usize, String), Us>,
+    pub lose_replies: f64,
+    pub late: f64,
+    pub doubles: Doubles,
+    pub log: Vec<String>,
+    pub unanswered: u64,
+    results: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl Sim {
+    pub fn new(settings: Vec<Settings>, seed: u64) -> Sim {
+        let s = &settings[0].params;
+        let n = settings.len();
+        let mut sim = Sim {
+            now: 3_600 * SECOND,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            nodes: (0..n).map(|_| None).collect(),
+            lives: vec![0; n],
+            state: State::new(s.state.rps, s.state.write_rps, s.state.value_kb, s.state.txn_ops),
+            cloud: Cloud::new(s.cloud.rps, s.cloud.list_lag_s),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            next_request: 0,
+            broken: BTreeSet::new(),
+            started: 0,
+            cuts: BTreeMap::new(),
+            lose_replies: 0.0,
+            late: 0.0,
+            doubles: Doubles::default(),
+            log: Vec::new(),
+            unanswered: 0,
+            results: BTreeMap::new(),
+            settings,
+        };
+        for i in 0..n {
+            sim.start(i);
+        }
+        sim
+    }
+
+    pub fn push(&mut self, at: Us, event: Event) {
+        self.seq += 1;
+        self.queue.push(Reverse((at, self.seq)));
+        self.events.insert(self.seq, event);
+    }
+
+    pub fn start(&mut self, i: usize) {
+        if self.nodes[i].is_some() {
+            return;
+        }
+        self.lives[i] += 1;
+        let operator = Operator { seed: 7, ..Operator::default() };
+        let nonce = self.rng.gen_range(1..1u64 << 50);
+        let now = Time::from_micros(self.now);
+        self.nodes[i] = Some(Node::new(self.settings[i].clone(), operator, nonce, now));
+        let life = self.lives[i];
+        self.push(self.now + 1_000, Event::Tick(i, life));
+    }
+
+    pub fn crash(&mut self, i: usize) {
+        self.nodes[i] = None;
+        self.lives[i] += 1;
+        // Whoever waits on a connection to it sees it reset.
+        let gone: Vec<(usize, u64)> =
+            self.callers.keys().filter(|(n, _)| *n == i).copied().collect();
+        for key in gone {
+            match self.callers.remove(&key) {
+                Some(Caller::User { job, what, since }) => self.retry(job, what, since, 1.0),
+                Some(Caller::Worker { machine, serial }) => {
+                    self.push(self.now + 2_000, Event::ReportTimedOut { machine, serial })
+                }
+                None => {}
+            }
+        }
+    }
+
+    pub fn holder(&self) -> Option<usize> {
+        self.nodes.iter().position(|n| n.as_ref().is_some_and(Node::is_holder))
+    }
+
+    fn wall(&self) -> WallMs {
+        WallMs(1_700_000_000_000 + self.now / 1_000)
+    }
+
+    fn cut(&self, node: usize, what: &str) -> bool {
+        self.cuts.get(&(node, what.to_string())).is_some_and(|until| self.now < *until)
+    }
+
+    pub fn run_until(&mut self, end: Us) {
+        while let Some(Reverse((at, seq))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(event) = self.events.remove(&seq) {
+                if let Event::Script(_) = event {
+                    self.push(self.now, event);
+                    return;
+                }
+                self.handle(event);
+                self.check();
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    /// Where `run_until` stopped for the script, the line that is due.
+    pub fn due_script(&mut self) -> Option<usize> {
+        let Reverse((at, seq)) = self.queue.peek().copied()?;
+        if at <= self.now && matches!(self.events.get(&seq), Some(Event::Script(_))) {
+            self.queue.pop();
+            if let Some(Event::Script(line)) = self.events.remove(&seq) {
+                return Some(line);
+            }
+        }
+        None
+    }
+
+    fn with_node(&mut self, i: usize, f: impl FnOnce(&mut Node, Time, WallMs, &mut Vec<Out>)) {
+        let (now, wall) = (Time::from_micros(self.now), self.wall());
+        let mut out = Vec::new();
+        if let Some(node) = self.nodes[i].as_mut() {
+            f(node, now, wall, &mut out);
+        }
+        for o in out {
+            self.act(i, o);
+        }
+    }
+
+    fn act(&mut self, i: usize, out: Out) {
+        let life = self.lives[i];
+        let hop = self.rng.gen_range(1_000..4_000);
+        match out {
+            Out::Call { id, dest, method, path, body, timeout_s } => {
+                let deadline = self.now + (timeout_s * 1e6) as u64;
+                self.push(deadline, Event::ToNode { node: i, life, call: id, reply: None });
+                let at = self.now + hop;
+                match dest {
+                    Dest::State => {
+                        if self.cut(i, "state") {
+                            return;
+                        }
+                        let lost = path == "/commit" && self.rng.gen_bool(self.lose_replies);
+                        let late = path == "/commit" && self.rng.gen_bool(self.late);
+                        let at = if late { at + self.rng.gen_range(1..20) * SECOND } else { at };
+                        let quiet = lost || late;
+                        self.push(
+                            at,
+                            Event::ToState { node: i, life, call: id, method, path, body, quiet },
+                        );
+                    }
+                    Dest::Cloud => {
+                        if !self.cut(i, "cloud") {
+                            self.push(
+                                at + 50_000,
+                                Event::ToCloud { node: i, life, call: id, method, path, body },
+                            );
+                        }
+                    }
+                    Dest::Worker(addr) => {
+                        let machine = u64::from(addr.port()) - 10_000;
+                        if !self.cut(i, "workers") {
+                            self.push(
+                                at,
+                                Event::ToWorker { node: i, life, call: id, machine, body },
+                            );
+                        }
+                    }
+                }
+            }
+            Out::Answer { to, status, body, .. } => {
+                match self.callers.remove(&(i, to.generation)) {
+                    Some(Caller::User { job, what, since }) => {
+                        self.user_answered(job, what, since, status, &body)
+                    }
+                    Some(Caller::Worker { machine, serial }) if !self.cut(i, "workers") => {
+                        self.push(
+                            self.now + hop,
+                            Event::ReportAnswered { machine, serial, status, body },
+                        );
+                    }
+                    _ => {}
+                }
+            }
+            Out::Tell { frame } => {
+                for to in 0..self.nodes.len() {
+                    if to != i && !self.cut(i, "peers") && !self.cut(to, "peers") {
+                        let life = self.lives[to];
+                        self.push(self.now + hop, Event::Frame { to, life, body: frame.clone() });
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn request(&mut self, node: usize, method: Method, path: &str, body: Vec<u8>) -> u64 {
+        self.next_request += 1;
+        let id = RequestId { slot: 0, generation: self.next_request };
+        let req = Request { method, path: path.to_string(), body, close: false };
+        self.with_node(node, |n, now, wall, out| n.on_request(now, wall, id, req, out));
+        self.next_request
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(i, life) => {
+                if self.lives[i] == life && self.nodes[i].is_some() {
+                    self.with_node(i, |n, now, wall, out| n.on_tick(now, wall, out));
+                    self.push(self.now + 25_000, Event::Tick(i, life));
+                }
+            }
+            Event::ToState { node, life, call, method, path, body, quiet } => {
+                let refused = self.cut(node, "refused");
+                let reply = if refused {
+                    if path.starts_with("/watch") {
+                        return;
+                    }
+                    Some((503, wire::encode(&json!({}))))
+                } else {
+                    self.state.handle(self.now, (node, life, call), method, &path, &body)
+                };
+                if let Some((status, body)) = reply {
+                    if !quiet {
+                        let hop = self.rng.gen_range(1_000..4_000);
+                        self.push(
+                            self.now + hop,
+                            Event::ToNode { node, life, call, reply: Some((status, body)) },
+                        );
+                    }
+                }
+                if self.doubles.forgets_jobs {
+                    self.state.forget_jobs(self.now);
+                }
+                self.push(self.now, Event::Watch);
+            }
+            Event::Watch => {
+                let (ready, next) = self.state.watches(self.now);
+                for ((node, life, call), body) in ready {
+                    self.push(
+                        self.now + 2_000,
+                        Event::ToNode { node, life, call, reply: Some((200, body)) },
+                    );
+                }
+                if let Some(next) = next {
+                    self.push(next.max(self.now + 1_000), Event::Watch);
+                }
+            }
+            Event::ToCloud { node, life, call, method, path, body } => {
+                let reply = self.cloud.handle(self.now, method, &path, &body, &mut self.rng);
+                for m in self.cloud.take_booted() {
+                    self.push(m.1, Event::Report { machine: m.0 });
+                }
+                for gone in self.cloud.take_gone() {
+                    self.workers.remove(&gone);
+                }
+                let at = self.now + 50_000;
+                self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
+            }
+            Event::ToWorker { node, life, call, machine, body } => {
+                let Some(w) = self.workers.get_mut(&machine).filter(|w| self.now >= w.cut_until)
+                else {
+                    return;
+                };
+                let reply = w.direct(self.now, &decode(&body));
+                let at = self.now + 3_000;
+                self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
+                self.push(self.now + 500_000, Event::Report { machine });
+            }
+            Event::ToNode { node, life, call, reply } => {
+                if self.lives[node] == life {
+                    self.with_node(node, |n, now, wall, out| {
+                        n.on_reply(now, wall, call, reply, out)
+                    });
+                }
+            }
+            Event::Report { machine } => self.report(machine),
+            Event::ReportArrives { machine, node, serial, body } => {
+                if self.nodes[node].is_none() {
+                    self.push(self.now + 2_000, Event::ReportTimedOut { machine, serial });
+                    return;
+                }
+                if self.cut(node, "workers") {
+                    return;
+                }
+                let id = self.next_request + 1;
+                self.callers.insert((node, id), Caller::Worker { machine, serial });
+                self.request(node, Method::Post, "/hello", body);
+            }
+            Event::ReportAnswered { machine, serial, status, body } => {
+                let doubles = self.doubles;
+                let n = self.nodes.len();
+                let Some(w) = self.workers.get_mut(&machine) else { return };
+                if self.now < w.cut_until {
+                    return;
+                }
+                let again = w.answered(self.now, serial, status, &body, n, &self.jobs, doubles);
+                if let Some(at) = again {
+                    self.push(at, Event::Report { machine });
+                }
+                self.push(self.now, Event::WorkerStep { machine });
+            }
+            Event::ReportTimedOut { machine, serial } => {
+                let n = self.nodes.len();
+                if let Some(w) = self.workers.get_mut(&machine) {
+                    if let Some(at) = w.timed_out(self.now, serial, n) {
+                        self.push(at, Event::Report { machine });
+                    }
+                }
+            }
+            Event::WorkerStep { machine } => {
+                if let Some(w) = self.workers.get_mut(&machine) {
+                    let changed = w.step(self.now, &self.jobs, self.doubles);
+                    if let Some(next) = w.next_step(self.now) {
+                        self.push(next, Event::WorkerStep { machine });
+                    }
+                    if changed {
+                        self.push(self.now + 250_000, Event::Report { machine });
+                    }
+                }
+            }
+            Event::UserSends { job, what, since } => self.user_sends(job, what, since),
+            Event::UserGivesUp { request } => {
+                let key = self.callers.keys().find(|(_, r)| *r == request).copied();
+                if let Some(Caller::User { job, what, since }) =
+                    key.and_then(|k| self.callers.remove(&k))
+                {
+                    self.unanswered += 1;
+                    self.retry(job, what, since, 1.0);
+                }
+            }
+            Event::Frame { to, life, body } => {
+                let mut buf = body;
+                if let (Ok(Some(frame)), true) = (peers::take(&mut buf), self.lives[to] == life) {
+                    self.with_node(to, |n, now, _, _| n.on_frame(now, frame));
+                }
+            }
+            Event::Script(_) => {}
+        }
+    }
+
+    fn report(&mut self, machine: u64) {
+        if !self.workers.contains_key(&machine) {
+            let Some(m) = self.cloud.booted(self.now, machine) else { return };
+            let worker = Worker::new(machine, m, &self.settings[0], self.now);
+            self.workers.insert(machine, worker);
+        }
+        let doubles = self.doubles;
+        let count = self.nodes.len();
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        let Some((node, serial, body)) = w.send(self.now, doubles) else { return };
+        let node = node % count;
+        let cut = self.now < w.cut_until;
+        let every = (w.report_s * 1e6) as u64;
+        self.push(self.now + every, Event::Report { machine });
+        self.push(self.now + 4 * SECOND, Event::ReportTimedOut { machine, serial });
+        self.push(self.now, Event::WorkerStep { machine });
+        if !cut {
+            let at = self.now + 2_000;
+            self.push(
+                at,
+                Event::ReportArrives { machine, node, serial, body: wire::encode(&body) },
+            );
+        }
+    }
+
+    // ---- users ----
+
+    fn user_sends(&mut self, job: String, what: What, since: Us) {
+        let up: Vec<usize> = (0..self.nodes.len()).filter(|i| self.nodes[*i].is_some()).collect();
+        if up.is_empty() {
+            return self.retry(job, what, since, 1.0);
+        }
+        let node = up[self.rng.gen_range(0..up.len())];
+        let told = self.told.entry(job.clone()).or_default();
+        let (method, path, body) = match what {
+            What::Submit => {
+                told.submitted = true;
+                let body = self.jobs.get(&job).map(|j| wire::encode(&j.body)).unwrap_or_default();
+                (Method::Post, "/api/jobs".to_string(), body)
+            }
+            What::Poll => (Method::Get, format!("/api/jobs/{job}"), Vec::new()),
+            What::Cancel => {
+                told.asked_cancel = true;
+                (Method::Post, format!("/api/jobs/{job}/cancel"), Vec::new())
+            }
+        };
+        let serial = self.next_request + 1;
+        self.callers.insert((node, serial), Caller::User { job, what, since });
+        let patience = if what == What::Poll { 2 } else { 5 } * SECOND;
+        self.push(self.now + patience, Event::UserGivesUp { request: serial });
+        self.request(node, method, &path, body);
+    }
+
+    fn retry(&mut self, job: String, what: What, since: Us, after_s: f64) {
+        if what != What::Poll && self.now > since + 60 * SECOND {
+            return;
+        }
+        let after_s = if what == What::Poll { 5.0 } else { after_s };
+        self.push(self.now + (after_s * 1e6) as u64, Event::UserSends { job, what, since });
+    }
+
+    fn user_answered(&mut self, job: String, what: What, since: Us, status: u16, body: &[u8]) {
+        let value = decode(body);
+        let state = value["status"].as_str().unwrap_or("").to_string();
+        let told = self.told.entry(job.clone()).or_default();
+        let mut broken = Vec::new();
+        match status {
+            200 | 201 => {
+                if !told.submitted {
+                    broken.push("invented");
+                }
+                told.accepted = true;
+                if (told.done && state != "done")
+                    || (told.cancelled.is_some() && state != "cancelled")
+                {
+                    broken.push("went_back");
+                }
+                if state == "cancelled" && !told.asked_cancel {
+                    broken.push("went_back");
+                }
+                if state == "done" {
+                    let total = self.jobs[&job].body["pieces"].as_u64().unwrap_or(0);
+                    let done = self.results_of(&job);
+                    if done < total {
+                        broken.push("not_done");
+                    }
+                    self.told.entry(job.clone()).or_default().done = true;
+                } else if state == "cancelled" {
+                    told.cancelled.get_or_insert(self.now);
+                }
+            }
+            404 if told.accepted => broken.push("forgotten"),
+            400 | 422 if told.accepted => broken.push("forgotten"),
+            503 => return self.retry(job, what, since, 1.0),
+            _ => {}
+        }
+        let told = self.told.entry(job.clone()).or_default();
+        told.last_status = state.clone();
+        if what == What::Submit {
+            told.final_status = Some(status);
+        }
+        for b in broken {
+            self.break_rule(b, &job);
+        }
+        if matches!(status, 200 | 201)
+            && !matches!(state.as_str(), "done" | "cancelled")
+            && what != What::Cancel
+        {
+            self.push(
+                self.now + 5 * SECOND,
+                Event::UserSends { job, what: What::Poll, since: self.now },
+            );
+        }
+    }
+
+    fn results_of(&self, job: &str) -> u64 {
+        self.results.get(job).map_or(0, |s| s.len() as u64)
+    }
+
+    pub fn break_rule(&mut self, rule: &str, what: &str) {
+        if self.broken.insert(rule.to_string()) {
+            let at = (self.now - 3_600 * SECOND) as f64 / 1e6;
+            self.log.push(format!("{at:.3} s: {rule} broken by {what}"));
+        }
+    }
+
+    /// The protocol's rules about what is on machines.
+    fn check(&mut self) {
+        let mut on: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
+        let mut team: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut broken: Vec<(&str, String)> = Vec::new();
+        let mut zones: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
+        for (machine, w) in &self.workers {
+            for t in w.on_machine() {
+                let slot = on.entry(&t.piece).or_insert((*machine, 0));
+                slot.1 += 1;
+                if slot.1 > 1 {
+                    broken.push((
+                        "ran_twice",
+                        format!("{} on n-{} and n-{machine}", t.piece, slot.0),
+                    ));
+                }
+                let job = t.piece.split('/').next().unwrap_or("");
+                let Some(plan) = self.jobs.get(job) else { continue };
+                let owner = plan.body["owner"].as_str().unwrap_or("");
+                *team.entry(owner).or_default() += plan.body["vcpus"].as_f64().unwrap_or(0.0);
+                *zones.entry(job).or_default().entry(&w.zone).or_default() += 1;
+                if w.spot && !plan.body["loaners"].as_bool().unwrap_or(true) {
+                    broken.push(("wrong_place", t.piece.clone()));
+                }
+                if plan.body["yard"].as_str().is_some_and(|z| z != w.zone) {
+                    broken.push(("wrong_place", t.piece.clone()));
+                }
+                if let Some(at) = self.told.get(job).and_then(|t| t.cancelled) {
+                    let cancel_s = self.settings[0].params.workers.cancel_s;
+                    if self.now > at + (cancel_s * 1e6) as u64 {
+                        broken.push(("ran_cancelled", t.piece.clone()));
+                    }
+                }
+            }
+        }
+        for (job, by_zone) in &zones {
+            let Some(plan) = self.jobs.get(*job) else { continue };
+            let pieces = plan.body["pieces"].as_u64().unwrap_or(0);
+            if plan.body["oneZone"].as_bool() == Some(true) && by_zone.len() > 1 {
+                broken.push(("wrong_place", (*job).to_string()));
+            }
+            if plan.body["apart"].as_bool() == Some(true)
+                && by_zone.values().any(|n| *n > pieces.div_ceil(2))
+            {
+                broken.push(("wrong_place", (*job).to_string()));
+            }
+        }
+        for (name, used) in team {
+            let limit = self.settings[0]
+                .params
+                .teams
+                .iter()
+                .find(|t| t.name == name)
+                .map_or(0.0, |t| t.cpus_max);
+            if limit > 0.0 && used > limit + 1e-6 {
+                broken.push(("quota", format!("{name} uses {used}")));
+            }
+        }
+        let broken: Vec<(String, String)> =
+            broken.into_iter().map(|(r, w)| (r.to_string(), w)).collect();
+        for (rule, what) in broken {
+            self.break_rule(&rule, &what);
+        }
+        self.gather_done();
+    }
+
+    /// Results are kept outside the machines.
+    fn gather_done(&mut self) {
+        for w in self.workers.values_mut() {
+            self.started += std::mem::take(&mut w.started);
+            for piece in w.finished.drain(..) {
+                if let Some((job, index)) = piece.split_once('/') {
+                    self.results.entry(job.to_string()).or_default().insert(index.to_string());
+                }
+            }
+        }
+    }
+}
