Try: on-demand only where freeing room starts tasks too late

Cause: on-demand was bought for all work whose slack ran out, though running tasks free room within a boot.

--- a/src/market.rs
+++ b/src/market.rs
@@ -17,7 +17,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 const KEY: &str = "split/now";
 pub const PREFIX: &str = "split/";
@@ -50,16 +51,77 @@
 /// Machines wanted of one type.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Want {
-    /// Room that must be had, on whichever kind.
-    pub must: f64,
     /// Room worth having at the spot price.
-    pub may: f64,
-    /// Room that spot machines cannot give.
-    pub ordinary: f64,
-    /// Room that placed tasks hold beyond what must be had.
-    pub busy: f64,
+    pub pool: f64,
     /// Room held ready for a class that may not wait.
     pub ready: f64,
+    /// Room that must be had beyond what is there or on its way.
+    pub short: f64,
+    /// Room that spot machines cannot give.
+    pub ordinary: f64,
+}
+
+/// Room of one type, by when it is or becomes free: seconds from now, CPUs.
+pub type Pool = Vec<(f64, f64)>;
+
+/// Tasks that wait for room of one type, in the order they will get it.
+#[derive(Clone, Debug)]
+struct Queued {
+    rank: (u8, bool),
+    left_s: f64,
+    cpus: f64,
+    count: u32,
+    run_s: f64,
+    /// Latest useful start, from now; none when nothing depends on it.
+    latest: Option<f64>,
+    setup_s: f64,
+}
+
+/// Most tasks that one look ahead follows; guards processor time.
+const LOOK_AHEAD: u32 = 1_500;
+
+/// CPUs that tasks lack which must start by a certain time: those that would
+/// start too late on the room that is there or becomes free, though a machine
+/// rented now would be up in time.
+fn shortfall(pool: &Pool, queue: &mut [Queued]) -> f64 {
+    let ms = |s: f64| (s.max(0.0) * 1e3) as u64;
+    let mut room: BinaryHeap<Reverse<(u64, u64)>> =
+        pool.iter().map(|(at, cpus)| Reverse((ms(*at), ms(*cpus)))).collect();
+    queue.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.left_s.total_cmp(&b.left_s)));
+    let (mut short, mut looked) = (0.0, 0);
+    for q in queue.iter() {
+        let need = ms(q.cpus).max(1);
+        for _ in 0..q.count {
+            looked += 1;
+            if looked > LOOK_AHEAD {
+                return short;
+            }
+            let (mut got, mut start) = (0, 0);
+            while got < need {
+                let Some(Reverse((at, cpus))) = room.pop() else {
+                    start = u64::MAX;
+                    break;
+                };
+                start = at;
+                got += cpus;
+            }
+            if got > need && start != u64::MAX {
+                room.push(Reverse((start, got - need)));
+            }
+            let late = q.latest.is_some_and(|l| start == u64::MAX || start > ms(l));
+            let helps = start == u64::MAX || start > ms(q.setup_s);
+            if late && helps && q.latest.is_some_and(|l| l > q.setup_s * 0.7) {
+                // It will run on what is rented for it.
+                short += q.cpus;
+                if got > 0 && start != u64::MAX {
+                    room.push(Reverse((start, need)));
+                }
+            } else if start != u64::MAX {
+                room.push(Reverse((start.saturating_add(ms(q.run_s)), need)));
+            }
+        }
+    }
+    short
 }
 
 pub struct Splits {
@@ -171,6 +233,7 @@
         shapes: &[Shape],
         settings: &Settings,
         owned_cpus: f64,
+        pools: &BTreeMap<usize, Pool>,
     ) -> BTreeMap<usize, Want> {
         let mut wants: BTreeMap<usize, Want> = BTreeMap::new();
         let exclusive = split::exclusive_types(shapes, demands);
@@ -181,6 +244,7 @@
                 owned_left -= h.owned * d.need.cpus;
             }
         }
+        let mut queues: BTreeMap<usize, Vec<Queued>> = BTreeMap::new();
         let mut widths: BTreeMap<String, f64> = BTreeMap::new();
         self.jobs.values_mut().for_each(|h| h.alive = false);
         for d in demands {
@@ -204,7 +268,16 @@
             };
             let Some(due) = due.filter(|_| d.deadline_array) else {
                 // Without deadline: room whole, in arrival order.
-                want.must += left / fit_f;
+                want.pool += left / fit_f;
+                queues.entry(shape).or_default().push(Queued {
+                    rank: (u8::MAX - d.urgency, false),
+                    left_s: -d.age_s,
+                    cpus: d.need.cpus,
+                    count: d.left.saturating_sub(d.placed),
+                    run_s: d.run_s.max(1.0),
+                    latest: Some(s.boot_s),
+                    setup_s: s.boot_s,
+                });
                 continue;
             };
             let window = due - d.age_s;
@@ -224,11 +297,32 @@
                 None => split::rounds(window - fetch - s.boot_s * 0.5, d.run_s * 1.15),
             };
             let places = (left / turns).ceil().max(f64::from(d.placed).min(left));
+            want.pool += places / fit_f;
+            // What the split gives to on-demand machines must start in time;
+            // the rest of the width follows on spot machines.
             let late = window < d.run_s * 0.5;
-            let must = if late { 0.0 } else { parts.ordinary.min(places) };
-            want.must += must / fit_f;
-            want.busy += (f64::from(d.placed).min(left) - must).max(0.0) / fit_f;
-            want.may += (places - must).max(0.0) / fit_f;
+            let waiting = d.left.saturating_sub(d.placed);
+            let must = if late { 0 } else { (parts.ordinary.ceil() as u32).min(waiting) };
+            for (count, latest) in [(must, Some(window - d.run_s - fetch)), (waiting - must, None)]
+            {
+                queues.entry(shape).or_default().push(Queued {
+                    rank: (u8::MAX - d.urgency, late),
+                    left_s: window,
+                    cpus: d.need.cpus,
+                    count,
+                    run_s: d.run_s.max(1.0),
+                    latest,
+                    setup_s: setup - fetch,
+                });
+            }
+        }
+        let nothing = Pool::new();
+        for (shape, mut queue) in queues {
+            let cpus = shapes.get(shape).map_or(0.0, |s| s.cpus);
+            if cpus > 0.0 {
+                let short = shortfall(pools.get(&shape).unwrap_or(&nothing), &mut queue);
+                wants.entry(shape).or_default().short = short / cpus;
+            }
         }
         let waiting: Vec<String> = settings
             .params
@@ -371,3 +465,36 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn queued(count: u32, latest: Option<f64>) -> Queued {
+        Queued {
+            rank: (1, false),
+            left_s: 0.0,
+            cpus: 4.0,
+            count,
+            run_s: 20.0,
+            latest,
+            setup_s: 30.0,
+        }
+    }
+
+    #[test]
+    fn room_that_becomes_free_in_time_is_not_bought_again() {
+        let pool = vec![(0.0, 4.0), (10.0, 4.0)];
+        // Starts at 0, 10, 20 and 30: all before 40.
+        assert_eq!(shortfall(&pool, &mut [queued(4, Some(40.0))]), 0.0);
+        // Two more would start at 40 and 50: the last is too late.
+        assert_eq!(shortfall(&pool, &mut [queued(6, Some(45.0))]), 4.0);
+        assert_eq!(shortfall(&Pool::new(), &mut [queued(2, Some(45.0))]), 8.0);
+    }
+
+    #[test]
+    fn nothing_is_bought_that_would_come_too_late() {
+        assert_eq!(shortfall(&Pool::new(), &mut [queued(2, Some(10.0))]), 0.0);
+        assert_eq!(shortfall(&Pool::new(), &mut [queued(2, None)]), 0.0);
+    }
+}
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -396,6 +396,7 @@
                 age_s: age_s(wall, &job.spec),
                 due_s: job.spec.due_s,
                 image_gb: job.spec.image_gb,
+                urgency: job.spec.urgency as u8,
                 deadline_array: job.spec.kind == JobKind::Batch,
                 spot: job.spec.spot,
                 shapes: job.spec.shapes.clone(),
@@ -405,6 +406,34 @@
         out
     }
 
+    /// Room on a machine by when it is or becomes free, for the fleet's look
+    /// ahead.
+    pub fn room_over_time(
+        &self,
+        now: Time,
+        id: MachineId,
+        shapes: &[Shape],
+        pool: &mut Vec<(f64, f64)>,
+    ) {
+        let Some(m) = self.machines.get(&id) else { return };
+        let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { return };
+        let mut free = shape.cpus;
+        for (task, e) in m.entries.iter().filter(|(_, e)| e.state != State::Ended) {
+            free -= e.need.cpus;
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+            let ran = e.started.map_or(0.0, |s| now.since(s));
+            // What runs longer than expected may go on as long again.
+            let left = if ran < run_s { run_s - ran } else { run_s * 0.25 };
+            if job.spec.kind == JobKind::Batch {
+                pool.push((left, e.need.cpus));
+            }
+        }
+        if free > EPSILON {
+            pool.push((0.0, free));
+        }
+    }
+
     /// How far runs of a class were from their estimates.
     fn run_factor(&self, class: &str) -> f64 {
         self.runs.get(class).copied().unwrap_or(1.0)
@@ -1251,7 +1280,7 @@
             // First fit: the smaller type first, so that large machines stay
             // free for tasks that fit nowhere else; then where the image is;
             // then the fuller machine, so that others can empty.
-            let mut fits: Vec<(usize, (bool, bool, i64))> = rooms
+            let mut fits: Vec<(usize, (bool, bool, bool, i64))> = rooms
                 .iter()
                 .enumerate()
                 .filter(|(_, r)| need.fits(&r.free))
@@ -1262,7 +1291,8 @@
                         && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
                         && (spec.spot || !m.spot);
                     let image = m.images.contains(&spec.image);
-                    let key = (!image, !r.used, (r.free.cpus * 1000.0) as i64);
+                    // Spot machines first among equals, so that dear ones empty.
+                    let key = (!m.spot, !image, !r.used, (r.free.cpus * 1000.0) as i64);
                     allowed.then_some((i, key))
                 })
                 .collect();
--- a/src/split.rs
+++ b/src/split.rs
@@ -329,6 +329,7 @@
     /// From its submission; none for jobs without deadline.
     pub due_s: Option<f64>,
     pub image_gb: f64,
+    pub urgency: u8,
     pub deadline_array: bool,
     pub spot: bool,
     pub shapes: Option<Vec<String>>,
