--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -992,6 +992,9 @@
     if refused && want.short > 0.0 {
         return (up(want.pool + want.ready) as u32, (bound + spare + up(want.short)) as u32);
     }
+    if refused && up(want.timely) > have_spot + spare {
+        return (up(want.pool + want.ready) as u32, (bound + up(want.timely) - have_spot) as u32);
+    }
     // Ordinary machines stay as long as spot ones do not reach.
     let pool = up(want.pool + want.ready);
     let keep = (up(want.pool) - have_spot).clamp(0.0, spare);
@@ -1003,7 +1006,7 @@
     use super::*;
 
     fn want(pool: f64, ready: f64, short: f64, ordinary: f64) -> Want {
-        Want { pool, ready, short, ordinary }
+        Want { pool, timely: 0.0, ready, short, ordinary }
     }
 
     #[test]
--- a/src/market.rs
+++ b/src/market.rs
@@ -53,6 +53,8 @@
 pub struct Want {
     /// Room worth having at the spot price.
     pub pool: f64,
+    /// The part of it for jobs that can still make their deadline.
+    pub timely: f64,
     /// Room held ready for a class that may not wait.
     pub ready: f64,
     /// Room that must be had beyond what is there or on its way.
@@ -301,6 +303,9 @@
             // What the split gives to on-demand machines must start in time;
             // the rest of the width follows on spot machines.
             let late = window < d.run_s * 0.5;
+            if !late {
+                want.timely += places / fit_f;
+            }
             let waiting = d.left.saturating_sub(d.placed);
             let must = if late { 0 } else { (parts.ordinary.ceil() as u32).min(waiting) };
             for (count, latest) in [(must, Some(window - d.run_s - fetch)), (waiting - must, None)]
