--- a/src/split.rs
+++ b/src/split.rs
@@ -377,12 +377,13 @@
 }
 
 /// How many tasks one place on a machine can run one after the other before
-/// the job is due.
+/// the job is due. Not a whole number: the places are shared by all jobs, and
+/// what one leaves over another takes up.
 pub fn rounds(window_s: f64, run_s: f64) -> f64 {
     if run_s <= 0.0 {
         return 1.0;
     }
-    (window_s / run_s).floor().clamp(1.0, 16.0)
+    (window_s / run_s).clamp(1.0, 16.0)
 }
 
 #[cfg(test)]
