--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -188,6 +188,10 @@
     retry_at: Time,
     decided: Time,
     owned: Option<Vec<MachineId>>,
+    /// Rented lately by us: kept in the record until every list shows them.
+    lately: Vec<(Time, RentalRow)>,
+    /// Rentals that an earlier leader recorded: the list may not show them yet.
+    inherited: Vec<RentalRow>,
     splits: Splits,
 }
 
@@ -248,6 +252,8 @@
             retry_at: Time::default(),
             decided: Time::default(),
             owned: None,
+            lately: Vec::new(),
+            inherited: Vec::new(),
             splits: Splits::new(operator, token, now),
         });
     }
@@ -442,7 +448,10 @@
                                 release: Release::No,
                             });
                         }
-                        term.record_dirty = true;
+                        if !hosts.is_empty() {
+                            let row = RentalRow { count: hosts.len() as u32, ..r.row };
+                            term.lately.push((now, row));
+                        }
                     }
                     Some((503, body)) => {
                         let r = &mut term.rentals[at];
@@ -569,6 +578,9 @@
                     match wire::from_value::<RentalRecord>(&p.value) {
                         Ok(r) if r.v == 1 => {
                             term.written = r.rentals.iter().map(|x| x.name.clone()).collect();
+                            let ours = format!("r-{}-", term.token.0);
+                            term.inherited = r.rentals;
+                            term.inherited.retain(|x| !x.name.starts_with(&ours));
                             term.owned.get_or_insert(
                                 r.owned.iter().filter_map(|m| MachineId::parse(m)).collect(),
                             );
@@ -631,7 +643,9 @@
             return;
         }
         let owned = self.owned.iter().flatten().map(|m| m.to_string()).collect();
-        let rentals: Vec<RentalRow> = self.rentals.iter().map(|r| r.row.clone()).collect();
+        let lately = self.lately.iter().map(|(_, row)| row.clone());
+        let rentals: Vec<RentalRow> =
+            self.rentals.iter().map(|r| r.row.clone()).chain(lately).collect();
         self.written = rentals.iter().map(|r| r.name.clone()).collect();
         self.record_dirty = false;
         self.record_flying = true;
@@ -837,6 +851,18 @@
                 pool.extend((0..r.row.count).map(|_| (s.boot_s * 1.2, s.cpus)));
             }
         }
+        // After a takeover the list may not yet show what was rented before
+        // us: what was recorded counts as there until it must show.
+        let lag = lag_s * 2.0 + 2.0;
+        if now.since(self.began) > lag {
+            self.inherited.clear();
+        }
+        for row in &self.inherited {
+            if let Some(shape) = shapes.iter().position(|s| s.label == row.shape) {
+                *have.entry(Class { shape, spot: row.spot }).or_default() += row.count;
+            }
+        }
+        self.lately.retain(|(at, _)| now.since(*at) < lag);
         self.refused.retain(|_, until| *until > now);
         let wants = self.splits.wants(now, &demands, shapes, settings, owned_cpus, &pools);
         let mut wanted: BTreeMap<Class, u32> = BTreeMap::new();
@@ -866,9 +892,7 @@
         if spot_wanted > 0.0 {
             self.splits.observe(now, Market { price, up: spot_up / spot_wanted, idle_owned });
         }
-        // After a takeover the list may not yet show what was rented before us.
-        let settled = self.lists > 0 && now.since(self.began) > lag_s * 2.0 + 1.0;
-        if settled {
+        if self.lists > 0 {
             for (class, want) in &wanted {
                 let have = have.get(class).copied().unwrap_or(0);
                 if *want > have {
--- a/src/market.rs
+++ b/src/market.rs
@@ -28,6 +28,10 @@
 const HISTORY: usize = 240;
 /// Seconds over which the width of a waiting class is watched.
 const WATCH_S: f64 = 150.0;
+/// Room held ready, over the widest that was seen.
+const READY: f64 = 1.4;
+/// Mean gaps between jobs after which a class has dried up.
+const DRY_GAPS: f64 = 6.0;
 
 #[derive(Serialize, Deserialize)]
 struct Record {
@@ -141,6 +145,7 @@
     dirty: bool,
     retry_at: Time,
     widths: BTreeMap<String, VecDeque<(Time, f64)>>,
+    arrivals: BTreeMap<String, VecDeque<Time>>,
     restored: BTreeMap<JobId, (usize, f64)>,
     /// The latest job of each class that may not wait.
     typical: BTreeMap<String, Demand>,
@@ -166,6 +171,7 @@
             dirty: false,
             retry_at: Time::default(),
             widths: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             restored: BTreeMap::new(),
             typical: BTreeMap::new(),
             runs: None,
@@ -347,10 +353,18 @@
             }
             let Some(d) = self.typical.get(&class) else { continue };
             let Some((shape, fit)) = split::cheapest(shapes, d, &exclusive) else { continue };
-            let mut sorted: Vec<f64> = seen.iter().map(|(_, w)| *w).collect();
-            sorted.sort_by(f64::total_cmp);
-            let high = sorted.get(sorted.len() * 9 / 10).copied().unwrap_or(0.0);
-            if high > current {
+            // The next burst comes before a boot is over, so the widest that
+            // was seen stays ready, and more; but not for a class of which
+            // nothing has come for long.
+            let came = self.arrivals.entry(class.clone()).or_default();
+            while came.front().is_some_and(|at| now.since(*at) > WATCH_S) {
+                came.pop_front();
+            }
+            let watched = now.since(self.began).clamp(1.0, WATCH_S);
+            let gap = watched / came.len().max(1) as f64;
+            let dry = came.back().is_none_or(|at| now.since(*at) > (gap * DRY_GAPS).max(15.0));
+            let high = seen.iter().map(|(_, w)| *w).fold(0.0, f64::max) * READY;
+            if high > current && !dry {
                 wants.entry(shape).or_default().ready += (high - current) / f64::from(fit.max(1));
             }
         }
@@ -375,6 +389,11 @@
             }
         };
         *owned_left -= owned * d.need.cpus;
+        let came = self.arrivals.entry(d.class.clone()).or_default();
+        came.push_back(now);
+        if came.len() > 512 {
+            came.pop_front();
+        }
         self.longest = self.longest.max(slots.min(720.0));
         let past = Past { delta: f64::from(d.left), z, d: slots };
         self.jobs.insert(d.job, Held { pair, owned, past, began: now, alive: true });
