--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -750,7 +750,7 @@
             } else if m.is_some_and(|m| m.sick) {
                 "fails its tasks"
             } else if never
-                && age > boot * 2.5 + 10.0
+                && age > boot * 1.9 + 5.0
                 && now.since(self.began) > boot * 0.5 + lease_s
             {
                 "never came up"
--- a/src/market.rs
+++ b/src/market.rs
@@ -178,19 +178,6 @@
         }
     }
 
-    /// The bound on a class's finish that its aims state, tightest first.
-    fn aim_due(settings: &Settings, class: &str) -> Option<f64> {
-        let aims = settings.params.objectives.iter();
-        let bounds = aims.filter(|o| o.kind == "finished" && o.class == class && o.within_s > 0.0);
-        bounds.map(|o| o.within_s).min_by(f64::total_cmp)
-    }
-
-    fn aim_wait(settings: &Settings, class: &str) -> Option<f64> {
-        let aims = settings.params.objectives.iter();
-        let bounds = aims.filter(|o| o.kind == "wait" && o.class == class && o.within_s > 0.0);
-        bounds.map(|o| o.within_s).min_by(f64::total_cmp)
-    }
-
     /// What the market showed since the last update.
     pub fn observe(&mut self, now: Time, market: Market) {
         if now.since(self.updated) < self.update_s {
@@ -261,7 +248,7 @@
             let want = wants.entry(shape).or_default();
             let fit_f = f64::from(fit.max(1));
             let left = f64::from(d.left);
-            let wait = Self::aim_wait(settings, &d.class);
+            let wait = settings.aim("wait", &d.class);
             if wait.is_some() {
                 *widths.entry(d.class.clone()).or_default() += left;
                 self.typical.insert(d.class.clone(), d.clone());
@@ -270,7 +257,7 @@
                 want.ordinary += left / fit_f;
                 continue;
             }
-            let due = match (d.due_s, Self::aim_due(settings, &d.class)) {
+            let due = match (d.due_s, settings.aim("finished", &d.class)) {
                 (Some(a), Some(b)) => Some(a.min(b)),
                 (a, b) => a.or(b),
             };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -268,6 +268,9 @@
     pub running: u32,
 }
 
+/// How much of its run time a task's order is brought forward by.
+const LONG_FIRST: f64 = 1.5;
+
 pub struct Placement {
     token: Token,
     took: Time,
@@ -1250,7 +1253,7 @@
                 }
             }
         }
-        let mut order: Vec<(u8, bool, bool, f64, JobId)> = Vec::new();
+        let mut order: Vec<(u8, u8, bool, f64, JobId)> = Vec::new();
         let runs = &self.runs;
         for (id, j) in &self.jobs {
             if j.state != JobState::Open || j.hold_until > now || j.waiting() == 0 {
@@ -1263,7 +1266,19 @@
             // can; among the late the longest goes first, so that none drags
             // on alone at the end.
             let late = j.spec.due_s.is_some() && left < run_s * 0.7;
-            let left = if late { -run_s } else { left };
+            // By latest start, not by deadline: a long task that waits too
+            // long runs alone at the end, on a machine of its own.
+            let wait = settings.aim("wait", &j.spec.class);
+            let left = if late {
+                -run_s
+            } else if wait.is_some() {
+                left
+            } else {
+                left - run_s * LONG_FIRST
+            };
+            // Likewise what can still start within its class's aim goes before
+            // what has already waited longer.
+            let late = if late { 2 } else { u8::from(wait.is_some_and(|w| age > w)) };
             let over = settings.team(&j.spec.team).is_some_and(|t| {
                 self.teams[t].0 > 0.0 && team_used[t].0 + j.spec.cpus > self.teams[t].0
             });
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,6 +227,14 @@
         4.0_f64.min((self.params.workers.cancel_s - self.params.workers.lease_s) * 0.2)
     }
 
+    /// The tightest bound that an aim of this kind sets for a class.
+    pub fn aim(&self, kind: &str, class: &str) -> Option<f64> {
+        let aims = self.params.objectives.iter();
+        aims.filter(|o| o.kind == kind && o.class == class && o.within_s > 0.0)
+            .map(|o| o.within_s)
+            .min_by(f64::total_cmp)
+    }
+
     pub fn value_limit(&self) -> usize {
         // A tenth is kept free for the envelope around a value.
         (self.params.state.value_kb * 1024.0 * 0.9) as usize
