--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,7 +6,7 @@
 //! guards are those of `docs/safety.md`.
 
 use crate::blocks::{self, Progress, Row};
-use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState};
+use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::leader::BLOCK;
 use crate::ledger::{Committed, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
 use crate::node::Tag;
@@ -268,6 +268,14 @@
     pub running: u32,
 }
 
+/// A job that found no room though its class may not wait.
+struct Pressed {
+    urgency: Urgency,
+    cpus: f64,
+    within_s: f64,
+    spec: Rc<JobSpec>,
+}
+
 /// How much of its run time a task's order is brought forward by.
 const LONG_FIRST: f64 = 1.5;
 
@@ -815,6 +823,21 @@
             wind_down_s: wind,
         };
         let Some(m) = self.machines.get_mut(&id) else { return orders };
+        if let Some(notice) = report.reclaim_in_s {
+            // A task that can save does so before the machine is taken, unless
+            // it will be done by then; one that cannot runs on, for luck.
+            for (task, e) in m.entries.iter_mut().filter(|(_, e)| e.kill.is_none()) {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let ran = e.started.map_or(0.0, |s| now.since(s));
+                if job.spec.checkpoint_s > 0.0
+                    && matches!(e.state, State::Seen(Phase::Running))
+                    && job.spec.save_s < notice
+                    && job.spec.expect_s - ran > notice * 0.5
+                {
+                    e.kill = Some(job.spec.save_s);
+                }
+            }
+        }
         for (task, attempt) in &m.ghosts {
             orders.push(order("kill", *task, *attempt, Some(0.0)));
         }
@@ -1286,7 +1309,8 @@
         }
         order.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)).then(a.3.total_cmp(&b.3)));
         let mut budget = 200usize;
-        for (_, _, _, _, id) in order {
+        let mut pressed: Vec<Pressed> = Vec::new();
+        for (_, late, _, _, id) in order {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let spec = job.spec.clone();
             let need = need_of(&spec);
@@ -1315,6 +1339,7 @@
                 let size = |i: &usize| shapes.get(rooms[*i].shape).map_or(0.0, |s| s.cpus);
                 size(a).total_cmp(&size(b)).then(ka.cmp(kb))
             });
+            let waiting_for = settings.aim("wait", &spec.class);
             'machines: for (i, _) in fits {
                 loop {
                     if budget == 0 {
@@ -1385,6 +1410,70 @@
                     budget -= 1;
                 }
             }
+            let waiting = job.waiting();
+            if let (Some(within), true) = (waiting_for, waiting > 0 && late < 2) {
+                let age = age_s(wall, &spec);
+                pressed.push(Pressed {
+                    urgency: spec.urgency,
+                    cpus: f64::from(waiting) * need.cpus,
+                    within_s: (within - age).max(1.0),
+                    spec,
+                });
+            }
+        }
+        self.preempt(now, &pressed, shapes);
+    }
+
+    /// Stops tasks of lower urgency for those that would miss their aim.
+    ///
+    /// Those that have run least lose least; tasks that a stop already frees
+    /// room for are not paid for twice.
+    fn preempt(&mut self, now: Time, pressed: &[Pressed], shapes: &[Shape]) {
+        let Some(top) = pressed.iter().map(|p| p.urgency).max() else { return };
+        let mut lacking: f64 = pressed.iter().filter(|p| p.urgency == top).map(|p| p.cpus).sum();
+        let soonest = pressed.iter().map(|p| p.within_s).fold(f64::INFINITY, f64::min);
+        let mut victims: Vec<(f64, MachineId, TaskId, f64, f64)> = Vec::new();
+        for (id, m) in &self.machines {
+            let usable = m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow;
+            if !usable || m.heard.is_none_or(|h| now.since(h) > self.report_s * 2.0 + 1.0) {
+                continue;
+            }
+            let label = m.shape.and_then(|s| shapes.get(s)).map(|s| s.label.as_str());
+            let fits = pressed.iter().any(|p| {
+                (p.spec.spot || !m.spot)
+                    && p.spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+                    && p.spec
+                        .shapes
+                        .as_ref()
+                        .is_none_or(|s| s.iter().any(|l| Some(l.as_str()) == label))
+            });
+            for (task, e) in &m.entries {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let ran = e.started.map_or(0.0, |s| now.since(s));
+                let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+                if e.kill.is_some() && e.state != State::Ended {
+                    lacking -= e.need.cpus;
+                } else if matches!(e.state, State::Seen(_)) && job.spec.urgency >= top {
+                    // Its room comes free by itself in time.
+                    if run_s - ran < soonest {
+                        lacking -= e.need.cpus;
+                    }
+                } else if matches!(e.state, State::Seen(_)) && fits && ran < run_s * 0.15 {
+                    let kept = if job.spec.checkpoint_s > 0.0 { 0.1 } else { 1.0 };
+                    victims.push((ran * kept, *id, *task, e.need.cpus, job.spec.save_s));
+                }
+            }
+        }
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, machine, task, cpus, save_s) in victims {
+            if lacking <= 0.0 {
+                break;
+            }
+            lacking -= cpus;
+            log::info!("{task} on {machine} makes room for more urgent work");
+            if let Some(e) = self.entry(machine, task) {
+                e.kill = Some(save_s);
+            }
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -65,7 +65,7 @@
         "memoryGb": number(words, "mem", 1.0)?, "bundle": option(words, "image").unwrap_or("img"), "imageGb": 1.0,
         "yard": option(words, "zone"), "oneZone": flag("oneZone"), "apart": flag("apart"),
         "loaners": !flag("noSpot"), "expectS": number(words, "expect", number(words, "run", 5.0)?)?,
-        "snapshotEveryS": 0.0, "snapshotS": 0.0, "dueS": option(words, "due").and_then(|d| d.parse::<f64>().ok()),
+        "snapshotEveryS": if flag("saves") { 5.0 } else { 0.0 }, "snapshotS": if flag("saves") { 1.0 } else { 0.0 }, "dueS": option(words, "due").and_then(|d| d.parse::<f64>().ok()),
     });
     let plan = JobPlan { body, run_s: number(words, "run", 5.0)?, fails: flag("fails") };
     sim.jobs.insert(id.clone(), plan);
