--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -24,6 +24,8 @@
 const MOST_PER_RENTAL: u32 = 50;
 /// The cloud charges a machine for at least this long.
 const MIN_CHARGE_S: f64 = 60.0;
+/// How long an on-demand machine that no split needs may stand idle.
+const ORDINARY_IDLE_S: f64 = 8.0;
 const MOST_PER_RELEASE: usize = 100;
 
 #[derive(Deserialize)]
@@ -984,9 +986,9 @@
                 "slow"
             } else {
                 let Some(n) = over.get_mut(&class).filter(|n| **n > 0) else { continue };
-                // A rented machine stays a whole update, and at least as long
-                // as it is charged for anyway.
-                let stay = operator.update_s.max(if i.owned { operator.idle_s } else { 0.0 });
+                // A rented machine stays at least as long as it is charged for
+                // anyway, and spot machines a while longer; dear ones do not.
+                let stay = if i.owned { operator.idle_s } else { ORDINARY_IDLE_S };
                 let fresh = !i.owned && now.since(i.rented) < MIN_CHARGE_S - 3.0;
                 let idle = if i.spot { operator.idle_s.max(stay) } else { stay };
                 if fresh || now.since(m.idle_since) < idle || now.since(self.began) < idle {
