A leader that hears few of its workers steps back

Cause: a leader cut from the workers alone kept the lead while their leases ran out; and after a takeover machines that never reported kept their tasks until silence was proof. Ruled out: waiting for the workers to find another node, since every node names the leader.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -721,8 +721,13 @@
         let lease_s = settings.params.workers.lease_s;
         let report_s = settings.params.workers.report_s;
         let limit = (lease_s * 0.55).max(report_s * 3.0);
-        let silent =
-            |id: &MachineId| place.machine(*id).and_then(|m| m.heard).map(|h| now.since(h));
+        // After a takeover, a machine that held tasks but never reports to us
+        // has been silent since then.
+        let silent = |id: &MachineId| {
+            let m = place.machine(*id)?;
+            let since = m.heard.or((!m.is_empty()).then_some(place.took()))?;
+            Some(now.since(since))
+        };
         let known = self.instances.iter().filter(|(_, i)| i.release == Release::No);
         let (mut heard, mut quiet) = (0u32, 0u32);
         for (id, _) in known {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -15,6 +15,8 @@
 
 const LEAD: &str = "lead/now";
 const LEAD_PREFIX: &str = "lead/";
+/// How long a leader that stepped back leaves the lead to others.
+const STAND_BACK_S: f64 = 8.0;
 pub const BLOCK: &str = "block/0";
 const BLOCK_PREFIX: &str = "block/";
 
@@ -35,6 +37,7 @@
     Take,
     Reclaim,
     Check,
+    End,
 }
 
 /// Changes of standing that the node has to act on.
@@ -63,6 +66,8 @@
     checked: Time,
     check_sent: Time,
     retry_at: Time,
+    /// After stepping back: how long others have to take over.
+    stand_back: Time,
 }
 
 impl Leader {
@@ -85,6 +90,7 @@
             checked: Time::default(),
             check_sent: Time::default(),
             retry_at: Time::default(),
+            stand_back: Time::default(),
         }
     }
 
@@ -114,13 +120,26 @@
         if self.token.take().is_none() {
             return Standing::Same;
         }
-        log::info!("another controller has taken over");
+        log::info!("this controller no longer leads");
         self.block = None;
         self.lead_rev = None;
         self.retry_at = now.plus(0.2);
         Standing::Lost
     }
 
+    /// Gives the lead up because others can do more with it: the lease ends at
+    /// once, and we hold back long enough for another to take over.
+    pub fn step_back(&mut self, now: Time, ledger: &mut Ledger<Tag>) -> Standing {
+        if self.token.is_none() {
+            return Standing::Same;
+        }
+        if let Some(permit) = self.permit.take() {
+            ledger.end_lease(now, Tag::Lead(LeadCall::End), permit);
+        }
+        self.stand_back = now.plus(STAND_BACK_S);
+        self.deposed(now)
+    }
+
     pub fn tick(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
         if now < self.retry_at {
             return;
@@ -173,7 +192,7 @@
     }
 
     fn try_take(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
-        if self.lead_rev.is_none() || self.taking {
+        if self.lead_rev.is_none() || self.taking || now < self.stand_back {
             return;
         }
         // Our own label with another nonce is a process of ours that ended:
@@ -356,6 +375,7 @@
                     _ => self.reread(now),
                 }
             }
+            LeadCall::End => {}
             LeadCall::Check => {
                 self.check_flying = false;
                 match reply.outcome {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -308,6 +308,11 @@
         self.push(now, Priority::Lease, (tag, Method::Post, path, Vec::new()), 0, 1.5);
     }
 
+    pub fn end_lease(&mut self, now: Time, tag: T, permit: u64) {
+        let path = format!("/holds/{permit}");
+        self.push(now, Priority::Lease, (tag, Method::Delete, path, Vec::new()), 0, 1.5);
+    }
+
     /// Sends what the limits allow, the important first. Each class leaves a
     /// little in the buckets, so that a renewal never waits behind polls.
     pub fn pump(&mut self, now: Time, next_call: &mut u64, out: &mut Vec<Out>) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -365,10 +365,27 @@
                 out.push(Out::Tell { frame: peers::encode(&peers::progress(place.all_counts())) });
             }
         }
+        self.consider_stepping_back(now);
         self.nudge(now, out);
         self.run(now, wall, out);
     }
 
+    /// A leader that cannot hear most of its workers would watch their leases
+    /// run out. If it is the one cut off, another controller hears them.
+    fn consider_stepping_back(&mut self, now: Time) {
+        let Some(place) = self.place.as_ref().filter(|p| p.loaded()) else { return };
+        let w = &self.settings.params.workers;
+        if self.settings.members.is_empty() || now.since(place.took()) < w.report_s * 3.0 + 3.0 {
+            return;
+        }
+        let (heard, silent) = place.hearing(now);
+        if silent >= 2 && silent > heard * 2 {
+            log::info!("most workers are silent here; stepping back");
+            let standing = self.leader.step_back(now, &mut self.ledger);
+            self.on_standing(now, standing);
+        }
+    }
+
     /// After a takeover, workers that still report elsewhere learn the new
     /// token directly: a report to us follows at once.
     fn nudge(&mut self, now: Time, out: &mut Vec<Out>) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -361,6 +361,19 @@
     pub fn machine(&self, id: MachineId) -> Option<&Machine> {
         self.machines.get(&id)
     }
+    /// How many machines with tasks we hear, and how many we do not.
+    pub fn hearing(&self, now: Time) -> (u32, u32) {
+        let patience = self.report_s * 2.5 + 2.0;
+        let (mut heard, mut silent) = (0, 0);
+        for m in self.machines.values().filter(|m| !m.is_empty()) {
+            match m.heard.unwrap_or(self.took) {
+                at if now.since(at) <= patience => heard += 1,
+                _ => silent += 1,
+            }
+        }
+        (heard, silent)
+    }
+
     pub fn drain(&mut self, id: MachineId) {
         if let Some(m) = self.machines.get_mut(&id) {
             m.draining = true;
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -172,6 +172,14 @@
                     None => say(404, json!({})),
                 }
             }
+            (Method::Delete, p) if p.starts_with("/holds/") => {
+                let id: u64 = p.trim_start_matches("/holds/").parse().unwrap_or(0);
+                if let Some((ends, _)) = self.leases.get_mut(&id) {
+                    *ends = 0;
+                }
+                self.expire(now);
+                say(200, json!({}))
+            }
             (Method::Get, "/store") => {
                 let (under, since) = (query(path, "under")?, query(path, "since"));
                 let most: usize = query(path, "most").and_then(|m| m.parse().ok()).unwrap_or(1_000);
