--- a/src/market.rs
+++ b/src/market.rs
@@ -257,10 +257,11 @@
                 want.ordinary += left / fit_f;
                 continue;
             }
-            let due = match (d.due_s, settings.aim("finished", &d.class)) {
-                (Some(a), Some(b)) => Some(a.min(b)),
-                (a, b) => a.or(b),
-            };
+            let due = d
+                .due_s
+                .into_iter()
+                .chain(settings.aim("finished", &d.class))
+                .min_by(f64::total_cmp);
             let Some(due) = due.filter(|_| d.deadline_array) else {
                 // Without deadline: room whole, in arrival order.
                 want.pool += left / fit_f;
@@ -276,6 +277,7 @@
                 continue;
             };
             let window = due - d.age_s;
+            let late = window < d.run_s * 0.5;
             let fetch = if s.fetch_gb_per_s > 0.0 { d.image_gb / s.fetch_gb_per_s } else { 0.0 };
             let setup = s.boot_s * 1.2 + fetch;
             let held = self.held(now, d, window, &mut owned_left);
@@ -295,7 +297,6 @@
             want.pool += places / fit_f;
             // What the split gives to on-demand machines must start in time;
             // the rest of the width follows on spot machines.
-            let late = window < d.run_s * 0.5;
             if !late {
                 want.timely += places / fit_f;
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1302,14 +1302,14 @@
             // can; among the late the longest goes first, so that none drags
             // on alone at the end.
             let late = j.spec.due_s.is_some() && left < run_s * 0.7;
-            // By latest start, not by deadline: a long task that waits too
-            // long runs alone at the end, on a machine of its own.
             let wait = settings.aim("wait", &j.spec.class);
             let left = if late {
                 -run_s
             } else if wait.is_some() {
                 left
             } else {
+                // By latest start, not by deadline: a long task that waits too
+                // long runs alone at the end, on a machine of its own.
                 left - run_s * LONG_FIRST
             };
             // Likewise what can still start within its class's aim goes before
