--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1309,14 +1309,13 @@
             // on alone at the end.
             let late = j.spec.due_s.is_some() && left < run_s * 0.7;
             let wait = settings.aim("wait", &j.spec.class);
-            let left = if late {
-                -run_s
-            } else if wait.is_some() {
-                left
-            } else {
-                // By latest start, not by deadline: a long task that waits too
-                // long runs alone at the end, on a machine of its own.
-                left - run_s * LONG_FIRST
+            // Others go by latest start, not by deadline: a long task that waits
+            // too long runs alone at the end, on a machine of its own. Arrays
+            // without a deadline keep their order of arrival.
+            let left = match (late, wait.is_some() || j.spec.due_s.is_none()) {
+                (true, _) => -run_s,
+                (false, true) => left,
+                (false, false) => left - run_s * LONG_FIRST,
             };
             // Likewise what can still start within its class's aim goes before
             // what has already waited longer.
