--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -179,12 +179,10 @@
     refused: BTreeMap<(usize, String, bool), Time>,
     record: Option<Stamp>,
     record_flying: bool,
-    record_dirty: bool,
     written: Vec<String>,
     list_flying: bool,
     list_at: Time,
     list_after: Option<String>,
-    list_seen: Vec<MachineId>,
     lists: u32,
     released: BTreeMap<MachineId, Time>,
     retry_at: Time,
@@ -243,12 +241,10 @@
             refused: BTreeMap::new(),
             record: None,
             record_flying: false,
-            record_dirty: false,
             written: Vec::new(),
             list_flying: false,
             list_at: Time::default(),
             list_after: None,
-            list_seen: Vec::new(),
             lists: 0,
             released: BTreeMap::new(),
             retry_at: Time::default(),
@@ -412,7 +408,6 @@
                     Some(list) => term.take_list(now, list, &self.shapes),
                     None => {
                         term.list_after = None;
-                        term.list_seen.clear();
                         term.list_at = now;
                     }
                 }
@@ -483,7 +478,6 @@
                                 term.rentals.remove(at);
                             }
                             term.refused.insert(key, now.plus(10.0));
-                            term.record_dirty = true;
                         } else {
                             r.retry_at = now.plus(2.0);
                         }
@@ -615,12 +609,10 @@
                 Err(_) => term.record = None,
             },
             (FleetCall::Write, Outcome::Refused) => {
-                term.record_dirty = true;
                 term.retry_at = now.plus(0.2);
             }
             (FleetCall::Write, _) => {
                 term.record = None;
-                term.record_dirty = true;
                 term.retry_at = now.plus(0.2);
             }
             _ => term.retry_at = now.plus(0.3),
@@ -649,7 +641,6 @@
         let rentals: Vec<RentalRow> =
             self.rentals.iter().map(|r| r.row.clone()).chain(lately).collect();
         self.written = rentals.iter().map(|r| r.name.clone()).collect();
-        self.record_dirty = false;
         self.record_flying = true;
         let mut txn = Txn::default();
         txn.when(crate::leader::BLOCK, Stamp(self.token.0));
@@ -660,7 +651,6 @@
     fn take_list(&mut self, now: Time, list: HostList, shapes: &[Shape]) {
         for row in &list.hosts {
             let Some(id) = MachineId::parse(&row.name_id) else { continue };
-            self.list_seen.push(id);
             if self.released.contains_key(&id) {
                 continue;
             }
@@ -694,7 +684,6 @@
         if self.list_after.is_none() {
             self.lists += 1;
             self.list_at = now;
-            self.list_seen.clear();
             // Before the first rental ever, all that is listed is the
             // operators' own.
             if self.owned.is_none() && self.record == Some(Stamp(0)) {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -260,6 +260,25 @@
         Self::answer(out, to, 200, id, state, Some(counts));
     }
 
+    /// Final states never change and need no fresh copy; and beyond the limit
+    /// of what may wait, users are told to come back.
+    fn answered_at_once(
+        &self,
+        to: RequestId,
+        id: JobId,
+        book: &JobBook,
+        out: &mut Vec<Out>,
+    ) -> bool {
+        if let Some(entry) = book.get(id).filter(|e| e.state != JobState::Open) {
+            self.tell(out, to, id, entry, None);
+        } else if self.waiting() >= WAITING_LIMIT {
+            Self::busy(out, to, "too many requests wait");
+        } else {
+            return false;
+        }
+        true
+    }
+
     pub fn submit(
         &mut self,
         now: Time,
@@ -269,11 +288,8 @@
         book: &JobBook,
         out: &mut Vec<Out>,
     ) {
-        if let Some(entry) = book.get(id).filter(|e| e.state != JobState::Open) {
-            return self.tell(out, to, id, entry, None);
-        }
-        if self.waiting() >= WAITING_LIMIT {
-            return Self::busy(out, to, "too many requests wait");
+        if self.answered_at_once(to, id, book, out) {
+            return;
         }
         let ask = match verdict {
             Verdict::Undecided => return Self::busy(out, to, "machine types are not yet known"),
@@ -311,11 +327,8 @@
         book: &JobBook,
         out: &mut Vec<Out>,
     ) {
-        if let Some(entry) = book.get(id).filter(|e| e.state != JobState::Open) {
-            return self.tell(out, to, id, entry, None);
-        }
-        if self.waiting() >= WAITING_LIMIT {
-            return Self::busy(out, to, "too many requests wait");
+        if self.answered_at_once(to, id, book, out) {
+            return;
         }
         self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Poll });
     }
@@ -328,13 +341,8 @@
         book: &JobBook,
         out: &mut Vec<Out>,
     ) {
-        match book.get(id).map(|e| e.state) {
-            Some(JobState::Done) => return Self::answer(out, to, 200, id, "done", None),
-            Some(JobState::Cancelled) => return Self::answer(out, to, 200, id, "cancelled", None),
-            _ => {}
-        }
-        if self.waiting() >= WAITING_LIMIT {
-            return Self::busy(out, to, "too many requests wait");
+        if self.answered_at_once(to, id, book, out) {
+            return;
         }
         self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Cancel });
     }
