--- a/src/intake.rs
+++ b/src/intake.rs
@@ -250,7 +250,10 @@
         entry: &jobs::Entry,
         own: Option<Counts>,
     ) {
-        let counts = own.or_else(|| self.shown.get(&id).copied()).unwrap_or_default();
+        let counts = match entry.state {
+            JobState::Done => Counts { done: entry.tasks, running: 0 },
+            _ => own.or_else(|| self.shown.get(&id).copied()).unwrap_or_default(),
+        };
         let state = match entry.state {
             JobState::Done => "done",
             JobState::Cancelled => "cancelled",
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -106,20 +106,33 @@
     st: JobState,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     spec: Option<JobSpec>,
+    /// Of a job that is done: how many tasks it had.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    n: Option<u32>,
 }
 
 pub fn open_record(spec: &JobSpec) -> Value {
-    wire::to_value(&Record { v: RECORD_VERSION, st: JobState::Open, spec: Some(spec.clone()) })
+    wire::to_value(&Record {
+        v: RECORD_VERSION,
+        st: JobState::Open,
+        spec: Some(spec.clone()),
+        n: None,
+    })
 }
 
 /// A job that is done keeps its key for ever, but needs only its last state.
-pub fn done_record() -> Value {
-    wire::to_value(&Record { v: RECORD_VERSION, st: JobState::Done, spec: None })
+pub fn done_record(tasks: u32) -> Value {
+    wire::to_value(&Record { v: RECORD_VERSION, st: JobState::Done, spec: None, n: Some(tasks) })
 }
 
 /// A cancelled job may still have tasks to end, whose size a new holder needs.
 pub fn cancelled_record(spec: &JobSpec) -> Value {
-    wire::to_value(&Record { v: RECORD_VERSION, st: JobState::Cancelled, spec: Some(spec.clone()) })
+    wire::to_value(&Record {
+        v: RECORD_VERSION,
+        st: JobState::Cancelled,
+        spec: Some(spec.clone()),
+        n: None,
+    })
 }
 
 pub fn key(id: JobId) -> String {
@@ -131,6 +144,8 @@
     pub stamp: Stamp,
     pub state: JobState,
     pub spec: Option<Rc<JobSpec>>,
+    /// How many tasks it has, also when it is over.
+    pub tasks: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -244,7 +259,12 @@
             Ok(r) if r.v == RECORD_VERSION => {
                 self.entries.insert(
                     id,
-                    Entry { stamp: Stamp(stamp), state: r.st, spec: r.spec.map(Rc::new) },
+                    Entry {
+                        stamp: Stamp(stamp),
+                        state: r.st,
+                        tasks: r.n.or(r.spec.as_ref().map(|s| s.tasks)).unwrap_or(0),
+                        spec: r.spec.map(Rc::new),
+                    },
                 );
                 self.changed.push(id);
             }
@@ -331,7 +351,9 @@
     /// What our own committed transaction wrote, known before any watch.
     pub fn wrote(&mut self, id: JobId, stamp: Stamp, state: JobState, spec: Option<Rc<JobSpec>>) {
         if self.entries.get(&id).is_none_or(|e| e.stamp < stamp) {
-            self.entries.insert(id, Entry { stamp, state, spec });
+            let known = self.entries.get(&id).map_or(0, |e| e.tasks);
+            let tasks = spec.as_ref().map_or(known, |s| s.tasks);
+            self.entries.insert(id, Entry { stamp, state, spec, tasks });
             self.changed.push(id);
         }
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1566,7 +1566,7 @@
             // `done` is written only when every task is, and on condition that
             // nobody cancelled the job meanwhile.
             if job.complete() {
-                txn.write(jobs::key(*id), job.stamp, jobs::done_record(), None);
+                txn.write(jobs::key(*id), job.stamp, jobs::done_record(job.spec.tasks), None);
                 flying.finals.push(*id);
                 continue;
             }
