--- a/src/net.rs
+++ b/src/net.rs
@@ -509,17 +509,10 @@
         let mut idle = None;
         for (slot, c) in self.conns.iter().enumerate() {
             if let Some(Conn { kind: Kind::Call { dest: d, current }, .. }) = c {
-                let same = match (d, &dest) {
-                    (Dest::Worker(_), Dest::Worker(_)) => {
-                        count += 1;
-                        *d == dest
-                    }
-                    _ => {
-                        count += usize::from(*d == dest);
-                        *d == dest
-                    }
-                };
-                if same && current.is_none() {
+                // Workers share one limit, whatever their addresses.
+                let both_workers = matches!((d, dest), (Dest::Worker(_), Dest::Worker(_)));
+                count += usize::from(*d == dest || both_workers);
+                if *d == dest && current.is_none() {
                     idle = Some(slot);
                 }
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -93,7 +93,6 @@
     state: State,
     kill: Option<f64>,
     flying: bool,
-    since: Time,
     started: Option<Time>,
 }
 
@@ -119,7 +118,6 @@
     pub idle_since: Time,
     page: usize,
     errors: u32,
-    error_jobs: BTreeSet<JobId>,
     pub sick: bool,
     /// Run times here over those expected, and how many tell so.
     pace: (f64, u32),
@@ -146,7 +144,6 @@
             idle_since: now,
             page: 0,
             errors: 0,
-            error_jobs: BTreeSet::new(),
             sick: false,
             pace: (1.0, 0),
             slow: false,
@@ -626,29 +623,15 @@
         ours: bool,
         report: &Report,
     ) {
-        let listed: BTreeMap<TaskId, (&Piece, Attempt)> = report
-            .pieces
-            .iter()
-            .filter_map(|p| Some((TaskId::parse(&p.piece)?, (p, Attempt(p.attempt)))))
-            .fold(BTreeMap::new(), |mut map, (t, v)| {
-                // The same task may stand there with several attempts; one that
-                // has not exited is the one that counts.
-                let live = v.0.status != "exited";
-                let slot = map.entry(t).or_insert(v);
-                if live {
-                    *slot = v;
-                }
-                map
-            });
+        let pieces: Vec<(TaskId, &Piece)> =
+            report.pieces.iter().filter_map(|p| Some((TaskId::parse(&p.piece)?, p))).collect();
         let tasks: Vec<(TaskId, Attempt, State)> = match self.machines.get(&id) {
             Some(m) => m.entries.iter().map(|(t, e)| (*t, e.attempt, e.state)).collect(),
             None => return,
         };
         for (task, attempt, state) in tasks {
-            let here = report
-                .pieces
-                .iter()
-                .find(|p| p.attempt == attempt.0 && TaskId::parse(&p.piece) == Some(task));
+            let here =
+                pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p);
             match here {
                 Some(p) if state != State::Ended => match p.status.as_str() {
                     "exited" => self.exited(now, id, task, p.cause.as_deref()),
@@ -698,17 +681,17 @@
             }
         }
         // Ghosts: on the machine, not in our books.
-        let mut ghosts = Vec::new();
-        for (task, (piece, attempt)) in &listed {
-            let known = self
-                .machines
-                .get(&id)
-                .and_then(|m| m.entries.get(task))
-                .is_some_and(|e| e.attempt == *attempt && e.state != State::Ended);
-            if piece.status != "exited" && !known {
-                ghosts.push((*task, *attempt));
-            }
-        }
+        let live: BTreeMap<TaskId, Attempt> = pieces
+            .iter()
+            .filter(|(_, p)| p.status != "exited")
+            .map(|(task, p)| (*task, Attempt(p.attempt)))
+            .collect();
+        let known = |task: &TaskId, attempt: &Attempt| {
+            let entry = self.machines.get(&id).and_then(|m| m.entries.get(task));
+            entry.is_some_and(|e| e.attempt == *attempt && e.state != State::Ended)
+        };
+        let ghosts: Vec<(TaskId, Attempt)> =
+            live.into_iter().filter(|(task, attempt)| !known(task, attempt)).collect();
         let old = match self.machines.get_mut(&id) {
             Some(m) => std::mem::replace(&mut m.ghosts, ghosts.clone()),
             None => return,
@@ -788,7 +771,6 @@
     fn succeeded(&mut self, id: MachineId, job: JobId) {
         if let Some(m) = self.machines.get_mut(&id) {
             m.errors = 0;
-            m.error_jobs.clear();
         }
         if let Some(j) = self.jobs.get_mut(&job) {
             j.errors = 0;
@@ -815,7 +797,6 @@
         if let Some(m) = self.machines.get_mut(&id) {
             if !job_suspect {
                 m.errors += 1;
-                m.error_jobs.insert(job);
                 if m.errors >= 2 && !m.sick {
                     log::info!("{id} failed {} tasks in a row and is set aside", m.errors);
                     m.sick = true;
@@ -893,7 +874,6 @@
                         && book.get(task.job).is_some_and(|b| b.state == JobState::Open) =>
                 {
                     e.state = State::Sent(moment);
-                    e.since = now;
                     orders.push(order("run", *task, e.attempt, None));
                 }
                 State::Seen(_) if e.kill.is_some() => {
@@ -1138,7 +1118,6 @@
                     state: State::Inherited,
                     kill: over.then_some(0.0),
                     flying: false,
-                    since: now,
                     started: None,
                 },
             );
@@ -1409,7 +1388,6 @@
                             state: State::Planned,
                             kill: None,
                             flying: false,
-                            since: now,
                             started: None,
                         },
                     );
@@ -1646,7 +1624,7 @@
                     self.reload();
                     return Verdict::Fine;
                 };
-                self.committed(now, flying, Stamp(done.rev), book);
+                self.committed(flying, Stamp(done.rev), book);
                 Verdict::Confirmed(sent)
             }
             Outcome::Conflict(failed) => {
@@ -1696,7 +1674,7 @@
         }
     }
 
-    fn committed(&mut self, now: Time, flying: Flying, stamp: Stamp, book: &mut JobBook) {
+    fn committed(&mut self, flying: Flying, stamp: Stamp, book: &mut JobBook) {
         for page in &flying.pages {
             if *page >= self.stamps.len() {
                 self.stamps.resize(page + 1, Stamp(0));
@@ -1713,7 +1691,6 @@
                 e.flying = false;
                 if e.state == State::Planned {
                     e.state = State::Committed;
-                    e.since = now;
                 }
             }
             if m.entries.is_empty() && m.draining && m.heard.is_none() {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -482,7 +482,7 @@
             }
             Event::WorkerStep { machine } => {
                 if let Some(w) = self.workers.get_mut(&machine) {
-                    let changed = w.step(self.now, &self.jobs, self.doubles);
+                    let changed = w.step(self.now, &self.jobs);
                     if let Some(next) = w.next_step(self.now) {
                         self.push(next, Event::WorkerStep { machine });
                     }
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -268,7 +268,7 @@
     }
 
     /// Time passes on the machine; true when something changed.
-    pub fn step(&mut self, now: Us, jobs: &BTreeMap<String, JobPlan>, _doubles: Doubles) -> bool {
+    pub fn step(&mut self, now: Us, jobs: &BTreeMap<String, JobPlan>) -> bool {
         if now < self.hang_until {
             return false;
         }
