--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,655 @@
+//! The holder's work: which task is on which machine, what workers report and
+//! what they are told.
+//!
+//! The wanted state is the set of entries; commits and commands are the loops
+//! that bring the state service and the workers towards it. The numbered
+//! guards are those of `docs/safety.md`.
+
+use crate::blocks::{self, Progress, Row};
+use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
+use crate::leader::BLOCK;
+use crate::ledger::{Committed, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::node::Tag;
+use crate::settings::Settings;
+use crate::split::{Demand, Need, Shape, EPSILON};
+use crate::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
+use crate::wire;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+mod books;
+mod plan;
+mod reports;
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Report {
+    pub host: String,
+    pub endpoint: String,
+    pub shape: String,
+    pub yard: String,
+    pub loaners: bool,
+    pub tenure: u64,
+    pub tick: u64,
+    pub baton: u64,
+    #[serde(default, deserialize_with = "wire::amount_or_null")]
+    pub reclaim_in_s: Option<f64>,
+    pub pieces: Vec<Piece>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Piece {
+    pub piece: String,
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    pub status: String,
+    #[serde(default)]
+    pub cause: Option<String>,
+}
+
+#[derive(Debug, Serialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub struct Order {
+    pub verb: &'static str,
+    pub piece: String,
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub wind_down_s: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Moment {
+    tenure: u64,
+    tick: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Pulling,
+    Running,
+    Saving,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Chosen, not yet committed: `run` must not be sent.
+    Planned,
+    /// Committed; `run` was never sent, or was proven not to have arrived.
+    Committed,
+    /// `run` went out with the answer to this report.
+    Sent(Moment),
+    /// The worker has listed it.
+    Seen(Phase),
+    /// Found in a page of an earlier holder: it may or may not be there.
+    Inherited,
+    /// Proven to be off the machine; the page does not say so yet.
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    attempt: Attempt,
+    need: Need,
+    team: Option<usize>,
+    state: State,
+    kill: Option<f64>,
+    flying: bool,
+    started: Option<Time>,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    shape: Option<usize>,
+    zone: String,
+    pub spot: bool,
+    pub endpoint: Option<SocketAddrV4>,
+    last: Option<Moment>,
+    pub heard: Option<Time>,
+    answered: Option<Time>,
+    /// The worker's newest report carried our token.
+    synced: bool,
+    /// One of its reports did, so it heeds no earlier holder any more.
+    ever_synced: bool,
+    pub reclaim: bool,
+    pub draining: bool,
+    entries: BTreeMap<TaskId, Entry>,
+    /// Listed by the worker, though not in our books.
+    ghosts: Vec<(TaskId, Attempt)>,
+    images: Vec<String>,
+    pub idle_since: Time,
+    page: usize,
+    errors: u32,
+    pub sick: bool,
+    /// Run times here over those expected, and how many tell so.
+    pace: (f64, u32),
+    pub slow: bool,
+}
+
+impl Machine {
+    fn new(now: Time) -> Machine {
+        Machine {
+            shape: None,
+            zone: String::new(),
+            spot: false,
+            endpoint: None,
+            last: None,
+            heard: None,
+            answered: None,
+            synced: false,
+            ever_synced: false,
+            reclaim: false,
+            draining: false,
+            entries: BTreeMap::new(),
+            ghosts: Vec::new(),
+            images: Vec::new(),
+            idle_since: now,
+            page: 0,
+            errors: 0,
+            sick: false,
+            pace: (1.0, 0),
+            slow: false,
+        }
+    }
+    pub fn is_empty(&self) -> bool {
+        self.ghosts.is_empty() && self.entries.values().all(|e| e.state == State::Ended)
+    }
+    pub fn shape(&self) -> Option<usize> {
+        self.shape
+    }
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+    fn remember_image(&mut self, image: &str) {
+        self.images.retain(|i| i != image);
+        self.images.push(image.to_string());
+        if self.images.len() > 24 {
+            self.images.remove(0);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Job {
+    spec: Rc<JobSpec>,
+    stamp: Stamp,
+    state: JobState,
+    progress: Progress,
+    next_fresh: u32,
+    retry: BTreeMap<u32, Time>,
+    /// Tasks with an entry or a ghost somewhere, and how many.
+    live: BTreeMap<u32, u32>,
+    errors: u32,
+    error_machines: BTreeSet<MachineId>,
+    hold_until: Time,
+}
+
+impl Job {
+    fn complete(&self) -> bool {
+        self.spec.kind == JobKind::Batch && self.progress.count() >= self.spec.tasks
+    }
+    fn need(&self) -> Need {
+        need_of(&self.spec)
+    }
+    fn waiting(&self) -> u32 {
+        let busy = self.live.keys().filter(|i| !self.progress.has(**i)).count() as u32;
+        self.spec.tasks.saturating_sub(self.progress.count() + busy)
+    }
+    /// One entry or ghost of the task less; true when none is left.
+    fn release(&mut self, index: u32) -> bool {
+        match self.live.get_mut(&index) {
+            Some(n) if *n > 1 => {
+                *n -= 1;
+                false
+            }
+            _ => {
+                self.live.remove(&index);
+                true
+            }
+        }
+    }
+    fn next_task(&mut self, now: Time) -> Option<u32> {
+        let ready = self
+            .retry
+            .iter()
+            .find(|(i, at)| **at <= now && !self.live.contains_key(i) && !self.progress.has(**i))
+            .map(|(i, _)| *i);
+        if ready.is_some() {
+            return ready;
+        }
+        while self.next_fresh < self.spec.tasks {
+            let i = self.next_fresh;
+            if self.progress.has(i) || self.live.contains_key(&i) || self.retry.contains_key(&i) {
+                self.next_fresh += 1;
+            } else {
+                return Some(i);
+            }
+        }
+        None
+    }
+}
+
+pub fn need_of(spec: &JobSpec) -> Need {
+    Need { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceCall {
+    Pages,
+    Progress,
+    Commit,
+}
+
+struct Flying {
+    pages: Vec<usize>,
+    chunks: Vec<(JobId, u32)>,
+    finals: Vec<JobId>,
+    cleaned: Vec<(JobId, u32)>,
+}
+
+struct Load {
+    pages: Vec<Item>,
+    progress: Vec<Item>,
+    stage: PlaceCall,
+    flying: bool,
+    after: Option<String>,
+}
+
+/// What the node has to do after a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Fine,
+    Deposed,
+    Confirmed(Time),
+    RefreshJobs,
+}
+
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Counts {
+    pub done: u32,
+    pub running: u32,
+}
+
+/// A job that found no room though its class may not wait.
+struct Pressed {
+    urgency: Urgency,
+    cpus: f64,
+    within_s: f64,
+    spec: Rc<JobSpec>,
+}
+
+/// How much of its run time a task's order is brought forward by.
+const LONG_FIRST: f64 = 1.5;
+
+pub struct Placement {
+    token: Token,
+    took: Time,
+    /// Until when an earlier holder's answers may still keep tasks alive.
+    inherited_until: Time,
+    lease_s: f64,
+    report_s: f64,
+    margin_s: f64,
+    rows_per_page: usize,
+    machines: BTreeMap<MachineId, Machine>,
+    jobs: BTreeMap<JobId, Job>,
+    stamps: Vec<Stamp>,
+    dirty: BTreeSet<usize>,
+    leftovers: BTreeMap<(JobId, u32), Stamp>,
+    load: Option<Load>,
+    loaded: bool,
+    stopped: bool,
+    flying: Option<Flying>,
+    retry_at: Time,
+    planned_at: Time,
+    replan: bool,
+    next_attempt: u64,
+    teams: Vec<(f64, f64, f64, f64)>,
+    team_names: Vec<String>,
+    /// class -> run time over estimate
+    runs: BTreeMap<String, f64>,
+}
+
+impl Placement {
+    pub fn new(settings: &Settings, token: Token, now: Time) -> Placement {
+        let w = &settings.params.workers;
+        // Guard 4: an earlier holder may have answered until H after its last
+        // exchange, and its workers live lease_s longer. That the last holder
+        // was a process of ours that ended does not help: the one before it
+        // may be cut off and still be answering.
+        let old_answers = settings.answer_limit_s();
+        Placement {
+            token,
+            took: now,
+            inherited_until: now.plus((old_answers + w.lease_s) * 1.002 + settings.margin_s()),
+            lease_s: w.lease_s,
+            report_s: w.report_s,
+            margin_s: settings.margin_s(),
+            rows_per_page: blocks::rows_per_page(settings.value_limit()),
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            stamps: Vec::new(),
+            dirty: BTreeSet::new(),
+            leftovers: BTreeMap::new(),
+            load: None,
+            loaded: false,
+            stopped: false,
+            flying: None,
+            retry_at: Time::default(),
+            planned_at: Time::default(),
+            replan: true,
+            next_attempt: token.0 << 20,
+            runs: BTreeMap::new(),
+            team_names: settings.params.teams.iter().map(|t| t.name.clone()).collect(),
+            teams: settings
+                .params
+                .teams
+                .iter()
+                .map(|t| (t.cpus, t.cpus_max, t.gpus, t.gpus_max))
+                .collect(),
+        }
+    }
+
+    pub fn token(&self) -> Token {
+        self.token
+    }
+    pub fn took(&self) -> Time {
+        self.took
+    }
+    pub fn loaded(&self) -> bool {
+        self.loaded
+    }
+    pub fn machines(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        self.machines.iter()
+    }
+    pub fn machine(&self, id: MachineId) -> Option<&Machine> {
+        self.machines.get(&id)
+    }
+    /// How many machines with tasks we hear, and how many we do not.
+    pub fn hearing(&self, now: Time) -> (u32, u32) {
+        let patience = self.report_s * 2.5 + 2.0;
+        let (mut heard, mut silent) = (0, 0);
+        for m in self.machines.values().filter(|m| !m.is_empty()) {
+            match m.heard.unwrap_or(self.took) {
+                at if now.since(at) <= patience => heard += 1,
+                _ => silent += 1,
+            }
+        }
+        (heard, silent)
+    }
+
+    pub fn drain(&mut self, id: MachineId) {
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.draining = true;
+        }
+    }
+
+    pub fn counts(&self, id: JobId) -> Option<Counts> {
+        let job = self.jobs.get(&id)?;
+        let running = job.live.keys().filter(|i| !job.progress.has(**i)).count() as u32;
+        Some(Counts { done: job.progress.count(), running })
+    }
+
+    pub fn all_counts(&self) -> impl Iterator<Item = (JobId, Counts)> + '_ {
+        self.jobs.keys().filter_map(|id| Some((*id, self.counts(*id)?)))
+    }
+
+    /// Open work for the fleet.
+    pub fn demands(&self, wall: WallMs) -> Vec<Demand> {
+        let mut out = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.state != JobState::Open || job.complete() {
+                continue;
+            }
+            let left = job.spec.tasks - job.progress.count().min(job.spec.tasks);
+            // A job that fails everywhere earns no machines while it waits.
+            let left = if job.errors > 3 && job.progress.count() == 0 { left.min(1) } else { left };
+            // Above its team's limit nothing of it can run.
+            let limit =
+                self.team_names.iter().position(|n| *n == job.spec.team).map(|t| self.teams[t].1);
+            let most = match limit {
+                Some(cpus) if cpus > 0.0 && job.spec.cpus > 0.0 => {
+                    (cpus / job.spec.cpus + EPSILON) as u32
+                }
+                _ => u32::MAX,
+            };
+            let busy = job.live.keys().filter(|i| !job.progress.has(**i)).count() as u32;
+            out.push(Demand {
+                job: *id,
+                class: job.spec.class.clone(),
+                need: job.need(),
+                left: left.min(most),
+                placed: busy.min(most),
+                run_s: job.spec.expect_s * self.run_factor(&job.spec.class),
+                age_s: age_s(wall, &job.spec),
+                due_s: job.spec.due_s,
+                image_gb: job.spec.image_gb,
+                urgency: job.spec.urgency as u8,
+                deadline_array: job.spec.kind == JobKind::Batch,
+                spot: job.spec.spot,
+                shapes: job.spec.shapes.clone(),
+                zone: job.spec.zone.clone(),
+            });
+        }
+        out
+    }
+
+    /// Room on a machine by when it is or becomes free, for the fleet's look
+    /// ahead.
+    pub fn room_over_time(
+        &self,
+        now: Time,
+        id: MachineId,
+        shapes: &[Shape],
+        pool: &mut Vec<(f64, f64)>,
+    ) {
+        let Some(m) = self.machines.get(&id) else { return };
+        let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { return };
+        let mut free = shape.cpus;
+        for (task, e) in m.entries.iter().filter(|(_, e)| e.state != State::Ended) {
+            free -= e.need.cpus;
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+            let ran = e.started.map_or(0.0, |s| now.since(s));
+            // What runs longer than expected may go on as long again.
+            let left = if ran < run_s { run_s - ran } else { run_s * 0.25 };
+            if job.spec.kind == JobKind::Batch {
+                pool.push((left, e.need.cpus));
+            }
+        }
+        if free > EPSILON {
+            pool.push((0.0, free));
+        }
+    }
+
+    /// How far runs of a class were from their estimates.
+    fn run_factor(&self, class: &str) -> f64 {
+        self.runs.get(class).copied().unwrap_or(1.0)
+    }
+
+    pub fn runs(&self) -> &BTreeMap<String, f64> {
+        &self.runs
+    }
+
+    pub fn restore_runs(&mut self, runs: BTreeMap<String, f64>) {
+        for (class, factor) in runs {
+            if factor.is_finite() && factor > 0.0 {
+                self.runs.entry(class).or_insert(factor.clamp(0.2, 5.0));
+            }
+        }
+    }
+
+    // ---- jobs ----
+
+    pub fn sync_job(&mut self, now: Time, id: JobId, book: &JobBook) {
+        let Some(entry) = book.get(id) else { return };
+        self.replan = true;
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stamp = entry.stamp;
+            if job.state == JobState::Open && entry.state != JobState::Open {
+                job.state = entry.state;
+                self.wind_up(now, id);
+            }
+            return;
+        }
+        if entry.state != JobState::Open {
+            return;
+        }
+        if let Some(spec) = &entry.spec {
+            self.jobs.insert(id, new_job(spec.clone(), entry.stamp, now));
+        }
+    }
+
+    /// The job is over: nothing of it may start, everything must go.
+    fn wind_up(&mut self, now: Time, id: JobId) {
+        let ids: Vec<MachineId> = self.machines.keys().copied().collect();
+        for machine in ids {
+            let tasks: Vec<TaskId> = match self.machines.get_mut(&machine) {
+                Some(m) => m.entries.keys().filter(|t| t.job == id).copied().collect(),
+                None => continue,
+            };
+            for task in tasks {
+                let state = match self.entry(machine, task) {
+                    Some(e) if !e.flying => {
+                        e.kill = Some(0.0);
+                        e.state
+                    }
+                    Some(e) => {
+                        e.kill = Some(0.0);
+                        continue;
+                    }
+                    None => continue,
+                };
+                // `run` was never sent, or proven lost: it cannot be there.
+                if matches!(state, State::Planned | State::Committed) {
+                    self.end(now, machine, task, false, 0.0);
+                }
+            }
+        }
+    }
+
+    fn entry(&mut self, machine: MachineId, task: TaskId) -> Option<&mut Entry> {
+        self.machines.get_mut(&machine)?.entries.get_mut(&task)
+    }
+
+    /// Guard 3: called only with proof that the task is off the machine.
+    fn end(&mut self, now: Time, machine: MachineId, task: TaskId, done: bool, delay: f64) {
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        let Some(e) = m.entries.get_mut(&task) else { return };
+        if e.state == State::Ended {
+            return;
+        }
+        // A plan that no transaction carries was never in a page.
+        let gone = e.state == State::Planned && !e.flying;
+        e.state = State::Ended;
+        if gone {
+            m.entries.remove(&task);
+        } else {
+            self.dirty.insert(m.page);
+        }
+        if m.entries.values().all(|e| e.state == State::Ended) {
+            m.idle_since = now;
+        }
+        self.replan = true;
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.release(task.index);
+            if done {
+                job.progress.set(task.index);
+                job.retry.remove(&task.index);
+            } else if !job.progress.has(task.index) {
+                job.retry.insert(task.index, now.plus(delay));
+            }
+        }
+    }
+
+    // ---- the loops ----
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn tick(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        may_place: bool,
+        settings: &Settings,
+        shapes: &[Shape],
+        book: &JobBook,
+        ledger: &mut Ledger<Tag>,
+    ) {
+        if self.stopped {
+            return;
+        }
+        if !self.loaded {
+            // Jobs first: pages mean nothing without them.
+            if book.loaded() && book.fresh().is_some_and(|f| f >= self.took) {
+                self.reload();
+            }
+            self.drive_load(now, ledger);
+            return;
+        }
+        self.drive_load(now, ledger);
+        self.check_silence(now);
+        if now.since(self.planned_at) >= 0.05
+            && (self.replan || now.since(self.planned_at) > 1.0)
+            && may_place
+        {
+            self.planned_at = now;
+            self.replan = false;
+            self.plan(now, wall, settings, shapes);
+        }
+        self.sweep(now);
+        self.commit(now, ledger);
+    }
+
+    /// Entries whose job is over and whose `run` never went out; jobs that
+    /// have left nothing behind.
+    fn sweep(&mut self, now: Time) {
+        let mut ended = Vec::new();
+        for (id, m) in &self.machines {
+            for (task, e) in &m.entries {
+                if e.kill.is_some()
+                    && !e.flying
+                    && matches!(e.state, State::Planned | State::Committed)
+                {
+                    ended.push((*id, *task));
+                }
+            }
+        }
+        for (machine, task) in ended {
+            self.end(now, machine, task, false, 0.0);
+        }
+        let over: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.state != JobState::Open && j.live.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            if let Some(job) = self.jobs.remove(&id) {
+                for (chunk, stamp) in job.progress.stored() {
+                    self.leftovers.insert((id, chunk), stamp);
+                }
+            }
+        }
+    }
+}
+
+fn new_job(spec: Rc<JobSpec>, stamp: Stamp, now: Time) -> Job {
+    Job {
+        spec,
+        stamp,
+        state: JobState::Open,
+        progress: Progress::default(),
+        next_fresh: 0,
+        retry: BTreeMap::new(),
+        live: BTreeMap::new(),
+        errors: 0,
+        error_machines: BTreeSet::new(),
+        hold_until: now,
+    }
+}
+
+/// Seconds since the submission, by the time of day.
+fn age_s(wall: WallMs, spec: &JobSpec) -> f64 {
+    (wall.0 as f64 - spec.submitted as f64) / 1e3
+}
--- /dev/null
+++ b/src/placement/reports.rs
@@ -0,0 +1,423 @@
+//! What workers report, what that proves, and what they are told.
+
+use super::*;
+
+impl Placement {
+    // ---- workers ----
+
+    /// Takes a report in; the answer's commands come out.
+    pub fn report(
+        &mut self,
+        now: Time,
+        report: &Report,
+        shapes: &[Shape],
+        book: &JobBook,
+    ) -> Vec<Order> {
+        let Some(id) = MachineId::parse(&report.host) else { return Vec::new() };
+        let moment = Moment { tenure: report.tenure, tick: report.tick };
+        let ours = report.baton == self.token.0;
+        if !self.machines.contains_key(&id) {
+            let page = self.home_page();
+            let mut m = Machine::new(now);
+            m.page = page;
+            self.machines.insert(id, m);
+            self.replan = true;
+        }
+        let Some(m) = self.machines.get_mut(&id) else { return Vec::new() };
+        m.answered = Some(now);
+        // Guard 3: a report that is not newer than the last proves nothing.
+        if m.last.is_some_and(|l| l >= moment) {
+            return Vec::new();
+        }
+        let newer_tenure = m.last.is_some_and(|l| l.tenure < moment.tenure);
+        m.last = Some(moment);
+        m.heard = Some(now);
+        m.shape = shapes.iter().position(|s| s.label == report.shape);
+        m.zone.clone_from(&report.yard);
+        m.spot = report.loaners;
+        m.endpoint = report.endpoint.parse().ok();
+        if report.reclaim_in_s.is_some() != m.reclaim {
+            m.reclaim = report.reclaim_in_s.is_some();
+            self.replan = true;
+        }
+        if ours != m.synced {
+            m.synced = ours;
+            self.replan = true;
+        }
+        m.ever_synced |= ours;
+        if !self.loaded {
+            return Vec::new();
+        }
+        self.take_in(now, id, moment, newer_tenure, ours, report);
+        if !ours {
+            // The answer raises the worker's token; commands wait until a
+            // report shows that it has seen it.
+            return Vec::new();
+        }
+        self.orders(now, id, moment, report, book)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn take_in(
+        &mut self,
+        now: Time,
+        id: MachineId,
+        moment: Moment,
+        newer_tenure: bool,
+        ours: bool,
+        report: &Report,
+    ) {
+        let pieces: Vec<(TaskId, &Piece)> =
+            report.pieces.iter().filter_map(|p| Some((TaskId::parse(&p.piece)?, p))).collect();
+        let tasks: Vec<(TaskId, Attempt, State)> = match self.machines.get(&id) {
+            Some(m) => m.entries.iter().map(|(t, e)| (*t, e.attempt, e.state)).collect(),
+            None => return,
+        };
+        for (task, attempt, state) in tasks {
+            let here =
+                pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p);
+            match here {
+                Some(p) if state != State::Ended => match p.status.as_str() {
+                    "exited" => self.exited(now, id, task, p.cause.as_deref()),
+                    status => {
+                        let phase = match status {
+                            "running" => Phase::Running,
+                            "saving" => Phase::Saving,
+                            // Guard 5: a state we don't know is still there.
+                            _ => Phase::Pulling,
+                        };
+                        if let Some(e) = self.entry(id, task) {
+                            if phase == Phase::Running && e.started.is_none() {
+                                e.started = Some(now);
+                            }
+                            e.state = State::Seen(phase);
+                        }
+                        if phase == Phase::Running {
+                            let image = self.jobs.get(&task.job).map(|j| j.spec.image.clone());
+                            if let (Some(image), Some(m)) = (image, self.machines.get_mut(&id)) {
+                                if m.images.last() != Some(&image) {
+                                    m.remember_image(&image);
+                                }
+                            }
+                        }
+                    }
+                },
+                Some(_) => {}
+                None => match state {
+                    State::Planned | State::Committed | State::Ended => {}
+                    // A newer tenure forgot all that came before it, and what
+                    // an answer to the earlier one said is dropped.
+                    State::Sent(_) | State::Seen(_) if newer_tenure && ours => {
+                        self.end(now, id, task, false, 0.0)
+                    }
+                    // The report carries our token and is newer than the one
+                    // answered with `run`: the answer was dropped.
+                    State::Sent(at) if ours && moment > at => {
+                        if let Some(e) = self.entry(id, task) {
+                            e.state = State::Committed;
+                        }
+                    }
+                    State::Seen(_) | State::Inherited if ours => {
+                        self.end(now, id, task, false, 0.0)
+                    }
+                    _ => {}
+                },
+            }
+        }
+        // Ghosts: on the machine, not in our books.
+        let live: BTreeMap<TaskId, Attempt> = pieces
+            .iter()
+            .filter(|(_, p)| p.status != "exited")
+            .map(|(task, p)| (*task, Attempt(p.attempt)))
+            .collect();
+        let known = |task: &TaskId, attempt: &Attempt| {
+            let entry = self.machines.get(&id).and_then(|m| m.entries.get(task));
+            entry.is_some_and(|e| e.attempt == *attempt && e.state != State::Ended)
+        };
+        let ghosts: Vec<(TaskId, Attempt)> =
+            live.into_iter().filter(|(task, attempt)| !known(task, attempt)).collect();
+        let old = match self.machines.get_mut(&id) {
+            Some(m) => std::mem::replace(&mut m.ghosts, ghosts.clone()),
+            None => return,
+        };
+        for (task, _) in &ghosts {
+            log::error!("{id} runs {task}, which is not in our books");
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                *job.live.entry(task.index).or_insert(0) += 1;
+            }
+        }
+        self.release_ghosts(now, old);
+    }
+
+    fn release_ghosts(&mut self, now: Time, ghosts: Vec<(TaskId, Attempt)>) {
+        for (task, _) in ghosts {
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if job.release(task.index) && !job.progress.has(task.index) {
+                    job.retry.insert(task.index, now);
+                    self.replan = true;
+                }
+            }
+        }
+    }
+
+    fn exited(&mut self, now: Time, id: MachineId, task: TaskId, cause: Option<&str>) {
+        let service = self.jobs.get(&task.job).is_some_and(|j| j.spec.kind == JobKind::Standing);
+        match cause {
+            Some("done") => {
+                self.learn_run(now, id, task);
+                self.succeeded(id, task.job);
+                self.end(now, id, task, !service, 1.0);
+            }
+            Some("error") => {
+                let delay = self.failed(now, id, task.job);
+                self.end(now, id, task, false, delay);
+            }
+            Some("full") => self.end(now, id, task, false, 0.5),
+            Some("unknown") => {
+                log::info!("{id} does not know {task}");
+                self.end(now, id, task, false, 2.0);
+            }
+            // Another attempt stands there: the next report shows it as a ghost.
+            Some("in_use") => self.end(now, id, task, false, 1.0),
+            Some("stopped") => self.end(now, id, task, false, 0.0),
+            other => {
+                // Guard 5: exited is exited, but only `done` counts as done.
+                log::info!("{task} exited on {id} for an unknown cause {other:?}");
+                self.end(now, id, task, false, 1.0);
+            }
+        }
+    }
+
+    /// Run times correct the estimates of a class, and tell slow machines.
+    fn learn_run(&mut self, now: Time, id: MachineId, task: TaskId) {
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else { return };
+        let started = self.entry(id, task).and_then(|e| e.started);
+        let Some(ran) = started.map(|s| now.since(s) + self.report_s * 0.25) else { return };
+        if spec.expect_s < 1.0 || ran < self.report_s {
+            return;
+        }
+        let ratio = (ran / spec.expect_s).clamp(0.1, 10.0);
+        let factor = self.runs.entry(spec.class.clone()).or_insert(1.0);
+        let relative = ratio / *factor;
+        // Geometric, since estimates are off by factors; slowly, since one job
+        // brings many tasks that share its error.
+        *factor = (*factor * relative.powf(0.03)).clamp(0.2, 5.0);
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.pace.0 *= (relative / m.pace.0).powf(0.4);
+            m.pace.1 += 1;
+            if m.pace.1 >= 3 && m.pace.0 > 2.0 && !m.slow {
+                log::info!("{id} takes {:.1} times as long as others and is set aside", m.pace.0);
+                m.slow = true;
+            }
+        }
+    }
+
+    fn succeeded(&mut self, id: MachineId, job: JobId) {
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.errors = 0;
+        }
+        if let Some(j) = self.jobs.get_mut(&job) {
+            j.errors = 0;
+            j.error_machines.clear();
+        }
+    }
+
+    /// Weighs a failure: is it the machine's fault or the job's? Returns how
+    /// long the task waits before its next try.
+    fn failed(&mut self, now: Time, id: MachineId, job: JobId) -> f64 {
+        let mut job_suspect = false;
+        let mut delay = 0.0;
+        if let Some(j) = self.jobs.get_mut(&job) {
+            j.errors += 1;
+            j.error_machines.insert(id);
+            // A job none of whose tasks ever ended well and that failed on
+            // several machines was submitted with a mistake.
+            job_suspect = j.progress.count() == 0 && j.error_machines.len() >= 3;
+            if job_suspect {
+                delay = 2f64.powi(j.errors.min(7) as i32).min(60.0);
+                j.hold_until = now.plus(delay.min(30.0));
+            }
+        }
+        if let Some(m) = self.machines.get_mut(&id) {
+            if !job_suspect {
+                m.errors += 1;
+                if m.errors >= 2 && !m.sick {
+                    log::info!("{id} failed {} tasks in a row and is set aside", m.errors);
+                    m.sick = true;
+                }
+            }
+        }
+        delay
+    }
+
+    fn orders(
+        &mut self,
+        now: Time,
+        id: MachineId,
+        moment: Moment,
+        report: &Report,
+        book: &JobBook,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let order = |verb, task: TaskId, attempt: Attempt, wind| Order {
+            verb,
+            piece: task.to_string(),
+            attempt: attempt.0,
+            wind_down_s: wind,
+        };
+        let Some(m) = self.machines.get_mut(&id) else { return orders };
+        if let Some(notice) = report.reclaim_in_s {
+            // A task that can save does so before the machine is taken, unless
+            // it will be done by then; one that cannot runs on, for luck.
+            for (task, e) in m.entries.iter_mut().filter(|(_, e)| e.kill.is_none()) {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let ran = e.started.map_or(0.0, |s| now.since(s));
+                if job.spec.checkpoint_s > 0.0
+                    && matches!(e.state, State::Seen(Phase::Running))
+                    && job.spec.save_s < notice
+                    && job.spec.expect_s - ran > notice * 0.5
+                {
+                    e.kill = Some(job.spec.save_s);
+                }
+            }
+        }
+        for (task, attempt) in &m.ghosts {
+            orders.push(order("kill", *task, *attempt, Some(0.0)));
+        }
+        for p in &report.pieces {
+            let Some(task) = TaskId::parse(&p.piece) else { continue };
+            if p.status != "exited"
+                || m.entries.get(&task).is_some_and(|e| e.attempt.0 == p.attempt)
+            {
+                continue;
+            }
+            // A result that we lost track of still counts, and is cleared only
+            // once the state service knows it.
+            let mut clear = true;
+            if p.cause.as_deref() == Some("done") {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    if job.spec.kind == JobKind::Batch && task.index < job.spec.tasks {
+                        if !job.progress.has(task.index) && !job.live.contains_key(&task.index) {
+                            job.progress.set(task.index);
+                        }
+                        clear =
+                            job.progress.durable(task.index) || job.live.contains_key(&task.index);
+                    }
+                }
+            }
+            if clear {
+                orders.push(order("clear", task, Attempt(p.attempt), None));
+            }
+        }
+        for (task, e) in &mut m.entries {
+            match e.state {
+                // Guard 2: `run` only after the commit, only while the job is
+                // open, and only in this answer, which cannot act late.
+                State::Committed
+                    if e.kill.is_none()
+                        && book.get(task.job).is_some_and(|b| b.state == JobState::Open) =>
+                {
+                    e.state = State::Sent(moment);
+                    orders.push(order("run", *task, e.attempt, None));
+                }
+                State::Seen(_) if e.kill.is_some() => {
+                    orders.push(order("kill", *task, e.attempt, e.kill));
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+
+    /// The cloud has confirmed that the machine and all on it are gone.
+    pub fn machine_gone(&mut self, now: Time, id: MachineId) {
+        let tasks: Vec<TaskId> = match self.machines.get(&id) {
+            Some(m) => m.entries.keys().copied().collect(),
+            None => return,
+        };
+        for task in tasks {
+            self.end(now, id, task, false, 0.0);
+        }
+        self.drop_ghosts(now, id);
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.draining = true;
+            m.synced = false;
+            m.heard = None;
+            if m.entries.is_empty() {
+                self.machines.remove(&id);
+            }
+        }
+    }
+
+    fn drop_ghosts(&mut self, now: Time, id: MachineId) {
+        let ghosts = match self.machines.get_mut(&id) {
+            Some(m) => std::mem::take(&mut m.ghosts),
+            None => return,
+        };
+        self.release_ghosts(now, ghosts);
+    }
+
+    /// Guard 3, silence: a worker whose last answered report is more than
+    /// lease_s old has killed all its tasks. Our last answer bounds that; after
+    /// a takeover the earlier holder's answers do.
+    pub(super) fn check_silence(&mut self, now: Time) {
+        let mut over = Vec::new();
+        let mut unsent = Vec::new();
+        for (id, m) in &self.machines {
+            if m.entries.is_empty() && m.ghosts.is_empty() {
+                if m.heard.is_none_or(|h| now.since(h) > self.lease_s * 6.0)
+                    && now.since(self.took) > self.lease_s * 6.0
+                {
+                    over.push((*id, true));
+                }
+                continue;
+            }
+            // `run` never went out for these: they can go elsewhere at once.
+            if m.heard.is_none_or(|h| now.since(h) > self.report_s * 3.0 + 2.0) {
+                let waiting = m.entries.iter().filter(|(_, e)| {
+                    !e.flying && matches!(e.state, State::Planned | State::Committed)
+                });
+                unsent.extend(waiting.map(|(t, _)| (*id, *t)));
+            }
+            let ours = m.answered.map(|a| a.plus(self.lease_s * 1.002 + self.margin_s * 0.25));
+            // Until it has shown our token, our answers may have been lost and
+            // an earlier holder's may still keep its tasks alive.
+            let inherited = !m.ever_synced;
+            let until = match ours {
+                Some(t) if inherited => t.max(self.inherited_until),
+                Some(t) => t,
+                None => self.inherited_until,
+            };
+            if now > until {
+                over.push((*id, false));
+            }
+        }
+        for (machine, task) in unsent {
+            self.end(now, machine, task, false, 0.0);
+        }
+        for (id, forget) in over {
+            if forget {
+                self.machines.remove(&id);
+                continue;
+            }
+            let tasks: Vec<TaskId> = match self.machines.get(&id) {
+                Some(m) => m
+                    .entries
+                    .iter()
+                    .filter(|(_, e)| {
+                        matches!(e.state, State::Sent(_) | State::Seen(_) | State::Inherited)
+                    })
+                    .map(|(t, _)| *t)
+                    .collect(),
+                None => continue,
+            };
+            if !tasks.is_empty() {
+                log::info!("{id} has been silent beyond its lease: {} tasks return", tasks.len());
+            }
+            for task in tasks {
+                self.end(now, id, task, false, 0.0);
+            }
+            self.drop_ghosts(now, id);
+        }
+    }
+}
