--- a/src/blocks.rs
+++ b/src/blocks.rs
@@ -1,23 +1,23 @@
-//! Blocks of machines and their pages.
+//! Pages: what the books say is on which machine.
 //!
-//! A holder keeps its placements in pages under `p/`, each a single value that
-//! names every task on the machines it covers. A page changes only together
-//! with a condition on the block's key, so whoever lost the block can no longer
-//! place anything, however late a transaction is applied.
-
-use crate::types::{Attempt, JobId, MachineId, Stamp, TaskId};
+//! A page names the tasks that were placed together. It is written once, by the
+//! transaction that places them, and removed when all of them have ended; in
+//! between it may name tasks that are long gone. So a placement costs one write,
+//! however many machines it touches. A page is written only together with a
+//! condition on the block's key: whoever lost the block can no longer place
+//! anything, however late a transaction is applied.
+
+use crate::types::{Attempt, JobId, MachineId, Stamp, TaskId, Token};
 use crate::wire::{self, BadBody};
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub const PAGE_PREFIX: &str = "p/";
 pub const PROGRESS_PREFIX: &str = "d/";
-const PAGE_VERSION: u32 = 1;
+const PAGE_VERSION: u32 = 2;
 /// Generous JSON length of one row, so that a page never exceeds its limit.
 const ROW_BYTES: usize = 44;
-/// Tasks per progress chunk: 8,192 bits are 2,048 hexadecimal digits.
-pub const CHUNK: u32 = 8_192;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Row {
@@ -26,182 +26,155 @@
     pub attempt: Attempt,
 }
 
-pub fn page_key(page: usize) -> String {
-    format!("{PAGE_PREFIX}{page:04}")
+/// Our own number of a page; its key never serves for another page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PageNo(u64);
+
+#[derive(Debug)]
+struct Page {
+    key: String,
+    stamp: Stamp,
+    /// Entries in our books that rest on this page.
+    live: u32,
 }
 
-pub fn page_of_key(key: &str) -> Option<usize> {
-    key.strip_prefix(PAGE_PREFIX)?.parse().ok()
+/// The pages that the state service holds.
+pub struct Pages {
+    token: Token,
+    next: u64,
+    pages: BTreeMap<PageNo, Page>,
+    dead: BTreeSet<PageNo>,
+}
+
+impl Pages {
+    pub fn new(token: Token) -> Pages {
+        Pages { token, next: 0, pages: BTreeMap::new(), dead: BTreeSet::new() }
+    }
+
+    fn number(&mut self) -> PageNo {
+        self.next += 1;
+        PageNo(self.next)
+    }
+
+    /// A key that no page ever had: it holds our token and a running number.
+    pub fn fresh_key(&mut self) -> String {
+        let PageNo(n) = self.number();
+        format!("{PAGE_PREFIX}{}-{n}", self.token.0)
+    }
+
+    pub fn add(&mut self, key: String, stamp: Stamp) -> PageNo {
+        let no = self.number();
+        self.pages.insert(no, Page { key, stamp, live: 0 });
+        self.dead.insert(no);
+        no
+    }
+
+    pub fn hold(&mut self, no: PageNo) {
+        if let Some(p) = self.pages.get_mut(&no) {
+            p.live += 1;
+            self.dead.remove(&no);
+        }
+    }
+
+    pub fn release(&mut self, no: PageNo) {
+        if let Some(p) = self.pages.get_mut(&no) {
+            p.live = p.live.saturating_sub(1);
+            if p.live == 0 {
+                self.dead.insert(no);
+            }
+        }
+    }
+
+    /// Pages all of whose tasks have ended.
+    pub fn dead(&self) -> impl Iterator<Item = (PageNo, &str, Stamp)> {
+        let page = |no: &PageNo| self.pages.get(no).map(|p| (*no, p.key.as_str(), p.stamp));
+        self.dead.iter().filter_map(page)
+    }
+
+    pub fn dead_count(&self) -> usize {
+        self.dead.len()
+    }
+
+    pub fn removed(&mut self, no: PageNo) {
+        self.pages.remove(&no);
+        self.dead.remove(&no);
+    }
+
+    pub fn clear(&mut self) {
+        self.pages.clear();
+        self.dead.clear();
+    }
 }
 
 pub fn rows_per_page(value_limit: usize) -> usize {
     (value_limit / ROW_BYTES).max(1)
 }
 
+/// machine -> job -> (task number, attempt)
+type Rows = BTreeMap<String, BTreeMap<String, Vec<(u32, u64)>>>;
+
 #[derive(Serialize, Deserialize)]
 struct PageRecord {
     v: u32,
-    /// machine -> job -> (task number, attempt)
-    m: BTreeMap<String, BTreeMap<String, Vec<(u32, u64)>>>,
+    /// Attempts count from here; the version before had them whole.
+    #[serde(default)]
+    a: u64,
+    m: Rows,
 }
 
-pub fn encode_page(rows: impl Iterator<Item = Row>) -> Value {
-    let mut m: BTreeMap<String, BTreeMap<String, Vec<(u32, u64)>>> = BTreeMap::new();
+pub fn encode_page(rows: &[Row]) -> Value {
+    let base = rows.iter().map(|r| r.attempt.0).min().unwrap_or(0);
+    let mut m = Rows::new();
     for row in rows {
         m.entry(row.machine.to_string())
             .or_default()
             .entry(row.task.job.to_string())
             .or_default()
-            .push((row.task.index, row.attempt.0));
+            .push((row.task.index, row.attempt.0 - base));
     }
-    wire::to_value(&PageRecord { v: PAGE_VERSION, m })
+    wire::to_value(&PageRecord { v: PAGE_VERSION, a: base, m })
 }
 
-/// A page of another version is refused whole: a guess at what runs where
-/// could start a task twice.
+/// A page of an unknown version is refused whole: a guess at what runs where
+/// could start a task twice. The version before differs only in its attempts.
 pub fn decode_page(value: &Value) -> Result<Vec<Row>, BadBody> {
     let record: PageRecord = wire::from_value(value)?;
-    if record.v != PAGE_VERSION {
-        return Err(BadBody);
-    }
+    let base = match record.v {
+        1 => 0,
+        PAGE_VERSION => record.a,
+        _ => return Err(BadBody),
+    };
     let mut rows = Vec::new();
     for (machine, jobs) in record.m {
         let machine = MachineId::parse(&machine).ok_or(BadBody)?;
         for (job, tasks) in jobs {
             let job = JobId::parse(&job).ok_or(BadBody)?;
-            rows.extend(tasks.into_iter().map(|(index, attempt)| Row {
-                machine,
-                task: TaskId { job, index },
-                attempt: Attempt(attempt),
-            }));
+            for (index, attempt) in tasks {
+                rows.push(Row {
+                    machine,
+                    task: TaskId { job, index },
+                    attempt: Attempt(base.checked_add(attempt).ok_or(BadBody)?),
+                });
+            }
         }
     }
     Ok(rows)
 }
 
-/// Which tasks of a job are done, in chunks that are stored one by one.
-#[derive(Clone, Debug, Default)]
-pub struct Progress {
-    chunks: BTreeMap<u32, Chunk>,
-    count: u32,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Chunk {
-    bits: Vec<u8>,
-    stamp: Stamp,
-    dirty: bool,
-    flying: bool,
-}
-
-#[derive(Serialize, Deserialize)]
-struct ChunkRecord {
-    v: u32,
-    b: String,
-}
-
-impl Progress {
-    pub fn count(&self) -> u32 {
-        self.count
-    }
-
-    pub fn has(&self, index: u32) -> bool {
-        let (chunk, at) = (index / CHUNK, index % CHUNK);
-        let byte = self.chunks.get(&chunk).and_then(|c| c.bits.get((at / 8) as usize));
-        byte.is_some_and(|b| b & (1 << (at % 8)) != 0)
-    }
-
-    pub fn set(&mut self, index: u32) {
-        if self.has(index) {
-            return;
-        }
-        let (chunk, at) = (index / CHUNK, (index % CHUNK) as usize);
-        let c = self.chunks.entry(chunk).or_default();
-        if c.bits.len() <= at / 8 {
-            c.bits.resize(at / 8 + 1, 0);
+/// Of several rows for one task only that of its highest attempt can still be
+/// on a machine: a second placement is committed only after proof that the
+/// first has ended.
+pub fn newest_rows(rows: impl Iterator<Item = (Row, PageNo)>) -> Vec<(Row, PageNo)> {
+    let mut best: BTreeMap<TaskId, (Row, PageNo)> = BTreeMap::new();
+    for (row, page) in rows {
+        match best.get(&row.task) {
+            Some((known, _)) if known.attempt >= row.attempt => {}
+            _ => {
+                best.insert(row.task, (row, page));
+            }
         }
-        if let Some(b) = c.bits.get_mut(at / 8) {
-            *b |= 1 << (at % 8);
-        }
-        c.dirty = true;
-        self.count += 1;
-    }
-
-    /// Whether the state service knows that this task is done.
-    pub fn durable(&self, index: u32) -> bool {
-        self.has(index) && self.chunks.get(&(index / CHUNK)).is_some_and(|c| !c.dirty && !c.flying)
-    }
-
-    pub fn dirty(&self) -> impl Iterator<Item = u32> + '_ {
-        self.chunks.iter().filter(|(_, c)| c.dirty).map(|(n, _)| *n)
-    }
-
-    pub fn stored(&self) -> impl Iterator<Item = (u32, Stamp)> + '_ {
-        self.chunks.iter().filter(|(_, c)| c.stamp != Stamp(0)).map(|(n, c)| (*n, c.stamp))
     }
-
-    pub fn value(&self, chunk: u32) -> Option<(Stamp, Value)> {
-        let c = self.chunks.get(&chunk)?;
-        let hex: String = c.bits.iter().map(|b| format!("{b:02x}")).collect();
-        Some((c.stamp, wire::to_value(&ChunkRecord { v: 1, b: hex })))
-    }
-
-    /// The chunk is on its way as it is now; what is set later is dirty again.
-    pub fn sent(&mut self, chunk: u32) {
-        if let Some(c) = self.chunks.get_mut(&chunk) {
-            c.dirty = false;
-            c.flying = true;
-        }
-    }
-
-    pub fn unsent(&mut self, chunk: u32) {
-        if let Some(c) = self.chunks.get_mut(&chunk) {
-            c.dirty = true;
-            c.flying = false;
-        }
-    }
-
-    pub fn written(&mut self, chunk: u32, stamp: Stamp) {
-        if let Some(c) = self.chunks.get_mut(&chunk) {
-            c.stamp = stamp;
-            c.flying = false;
-        }
-    }
-
-    /// Takes in what the state service holds; what only we know stays dirty.
-    pub fn merge(&mut self, chunk: u32, stamp: Stamp, value: &Value) -> Result<(), BadBody> {
-        let record: ChunkRecord = wire::from_value(value)?;
-        if record.v != 1 || !record.b.len().is_multiple_of(2) || !record.b.is_ascii() {
-            return Err(BadBody);
-        }
-        let mut stored = Vec::with_capacity(record.b.len() / 2);
-        for at in (0..record.b.len()).step_by(2) {
-            stored.push(u8::from_str_radix(&record.b[at..at + 2], 16).map_err(|_| BadBody)?);
-        }
-        let c = self.chunks.entry(chunk).or_default();
-        let before: u32 = c.bits.iter().map(|b| b.count_ones()).sum();
-        let len = stored.len().max(c.bits.len());
-        c.bits.resize(len, 0);
-        stored.resize(len, 0);
-        for (b, s) in c.bits.iter_mut().zip(&stored) {
-            *b |= s;
-        }
-        c.stamp = stamp;
-        c.dirty = c.bits != stored;
-        c.flying = false;
-        let after: u32 = c.bits.iter().map(|b| b.count_ones()).sum();
-        self.count += after - before;
-        Ok(())
-    }
-}
-
-pub fn progress_key(job: JobId, chunk: u32) -> String {
-    format!("{PROGRESS_PREFIX}{job}/{chunk}")
-}
-
-pub fn progress_of_key(key: &str) -> Option<(JobId, u32)> {
-    let (job, chunk) = key.strip_prefix(PROGRESS_PREFIX)?.split_once('/')?;
-    Some((JobId::parse(job)?, chunk.parse().ok()?))
+    best.into_values().collect()
 }
 
 #[cfg(test)]
@@ -219,42 +192,39 @@
     #[test]
     fn a_page_comes_back_as_written_and_fits_its_bound() {
         let rows: Vec<Row> = (0..160)
-            .map(|i| {
-                row(&format!("n-{:06}", i / 8), &format!("job-{:06}/{i}", i % 7), (9_000 << 20) + i)
-            })
+            .map(|i| row(&format!("n-{i:06}"), &format!("job-{:06}/{i}", i % 7), (9_000 << 20) + i))
             .collect();
-        let value = encode_page(rows.iter().copied());
+        let value = encode_page(&rows);
         assert!(wire::json_len(&value) <= rows.len() * ROW_BYTES);
         let mut back = decode_page(&value).expect("sound");
         back.sort();
-        let mut rows = rows;
-        rows.sort();
         assert_eq!(back, rows);
     }
 
     #[test]
-    fn a_page_of_another_version_is_refused() {
-        let value = wire::to_value(&PageRecord { v: 2, m: BTreeMap::new() });
-        assert!(decode_page(&value).is_err());
+    fn a_page_of_the_version_before_is_read_and_others_are_refused() {
+        let page = |v: u32| {
+            let m: Rows = [("n-1".into(), [("job-1".into(), vec![(3, 77)])].into())].into();
+            wire::to_value(&PageRecord { v, a: 1_000, m })
+        };
+        assert_eq!(decode_page(&page(1)).expect("sound"), [row("n-1", "job-1/3", 77)]);
+        assert_eq!(decode_page(&page(2)).expect("sound"), [row("n-1", "job-1/3", 1_077)]);
+        assert!(decode_page(&page(3)).is_err());
     }
 
     #[test]
-    fn progress_of_a_huge_job_stays_within_small_values() {
-        let mut p = Progress::default();
-        for i in (0..100_000).step_by(2) {
-            p.set(i);
-        }
-        assert_eq!(p.count(), 50_000);
-        let chunks: Vec<u32> = p.dirty().collect();
-        assert_eq!(chunks.len(), 13);
-        let mut q = Progress::default();
-        q.set(1);
-        for c in chunks {
-            let (_, value) = p.value(c).expect("chunk");
-            assert!(wire::json_len(&value) < 3_000);
-            q.merge(c, Stamp(5), &value).expect("sound");
+    fn a_page_is_dead_once_nothing_rests_on_it_and_only_the_newest_row_counts() {
+        let mut pages = Pages::new(Token(5));
+        let (first, second) = (pages.fresh_key(), pages.fresh_key());
+        assert_ne!(first, second);
+        let (a, b) = (pages.add(first, Stamp(1)), pages.add(second, Stamp(2)));
+        pages.hold(a);
+        pages.hold(b);
+        pages.release(a);
+        assert_eq!(pages.dead().map(|(no, _, _)| no).collect::<Vec<_>>(), [a]);
+        let rows = [(row("n-1", "job-1/3", 7), a), (row("n-2", "job-1/3", 9), b)];
+        for order in [rows, [rows[1], rows[0]]] {
+            assert_eq!(newest_rows(order.into_iter()), [rows[1]]);
         }
-        assert_eq!(q.count(), 50_001);
-        assert!(q.durable(8_192 * 2) && !q.durable(1), "what only we know is not durable");
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -254,6 +254,12 @@
         self.txn_ops.min(self.writes.rate as usize).max(2)
     }
 
+    /// Writes that could be sent now, and the rate at which they come back.
+    pub fn writes_left(&mut self, now: Time) -> (f64, f64) {
+        self.writes.fill(now);
+        (self.writes.level, self.writes.rate)
+    }
+
     pub fn max_conditions(&self) -> usize {
         self.txn_ops * 4
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod peers;
 pub mod placement;
+pub mod progress;
 pub mod settings;
 pub mod split;
 pub mod types;
--- a/src/placement/books.rs
+++ b/src/placement/books.rs
@@ -3,6 +3,12 @@
 
 use super::*;
 
+/// How often progress is written. What ended since is still listed by its
+/// worker, so a takeover in between loses nothing.
+const SHELVE_S: f64 = 0.5;
+/// Pages without use that may stay until writes are to spare.
+const DEAD_PAGES: usize = 150;
+
 impl Placement {
     // ---- loading ----
 
@@ -66,256 +72,262 @@
         self.merge(now, load, book);
     }
 
+    /// A value of a form or version that this program does not know: nothing
+    /// is guessed, placement stops.
+    fn unreadable(&mut self, path: &str) {
+        log::error!("{path} has a form or version this program does not know; placement stops");
+        self.stopped = true;
+    }
+
     fn merge(&mut self, now: Time, load: Load, book: &JobBook) {
-        let mut durable: BTreeMap<(MachineId, TaskId), (Attempt, usize)> = BTreeMap::new();
-        self.stamps.clear();
-        for item in &load.pages {
-            let page = blocks::page_of_key(&item.path);
-            let rows = blocks::decode_page(&item.value);
-            let (Some(page), Ok(rows)) = (page, rows) else {
-                log::error!(
-                    "page {} has a form or version this program does not know; placement stops",
-                    item.path
-                );
-                self.stopped = true;
-                return;
-            };
-            if page >= self.stamps.len() {
-                self.stamps.resize(page + 1, Stamp(0));
-            }
-            self.stamps[page] = Stamp(item.stamp);
-            for r in rows {
-                durable.insert((r.machine, r.task), (r.attempt, page));
-            }
-        }
         let ids: Vec<JobId> =
             book.iter().filter(|(_, e)| e.state == JobState::Open).map(|(id, _)| *id).collect();
         for id in ids {
             self.sync_job(now, id, book);
         }
+        self.shelves.begin_reading();
         for item in &load.progress {
-            let Some((id, chunk)) = blocks::progress_of_key(&item.path) else { continue };
-            match self.jobs.get_mut(&id) {
-                Some(job) => {
-                    if job.progress.merge(chunk, Stamp(item.stamp), &item.value).is_err() {
-                        log::error!(
-                            "progress {} has an unknown form or version; placement stops",
-                            item.path
-                        );
-                        self.stopped = true;
-                        return;
-                    }
-                }
-                None => {
-                    self.leftovers.insert((id, chunk), Stamp(item.stamp));
-                }
+            let (path, stamp) = (&item.path, Stamp(item.stamp));
+            if self.shelves.read(path, stamp, &item.value, &mut self.jobs).is_err() {
+                return self.unreadable(&item.path);
+            }
+        }
+        for (id, job) in &self.jobs {
+            for chunk in job.progress.dirty() {
+                self.shelves.touch(*id, chunk * progress::CHUNK, job.spec.tasks);
             }
+            if job.complete() && job.state == JobState::Open {
+                self.complete.insert(*id);
+            }
+        }
+        self.pages.clear();
+        let mut rows: Vec<(Row, PageNo)> = Vec::new();
+        for item in &load.pages {
+            let Ok(page) = blocks::decode_page(&item.value) else {
+                return self.unreadable(&item.path);
+            };
+            let no = self.pages.add(item.path.clone(), Stamp(item.stamp));
+            rows.extend(page.into_iter().map(|r| (r, no)));
         }
-        for (id, m) in &mut self.machines {
-            let mut gone = Vec::new();
-            for (task, e) in &mut m.entries {
-                let stored =
-                    durable.remove(&(*id, *task)).filter(|(a, _)| *a == e.attempt).is_some();
+        if self.loaded {
+            self.rejoin(now, rows);
+        } else {
+            self.inherit(now, rows, book);
+        }
+        self.loaded = true;
+        self.replan = true;
+    }
+
+    /// After a transaction of unknown fate: what of it is in the books now.
+    ///
+    /// Only we can have written pages since we hold the block, and rows that we
+    /// do not know have ended, or were plans given up before any `run`.
+    fn rejoin(&mut self, now: Time, rows: Vec<(Row, PageNo)>) {
+        for m in self.machines.values_mut() {
+            for e in m.entries.values_mut() {
+                e.page = None;
                 e.flying = false;
-                match (e.state, stored) {
-                    (State::Planned, true) => e.state = State::Committed,
-                    (State::Planned, false) => {}
-                    (State::Ended, false) => gone.push(*task),
-                    _ => {
-                        self.dirty.insert(m.page);
-                    }
-                }
             }
-            for task in gone {
-                m.entries.remove(&task);
+        }
+        for (row, no) in rows {
+            if let Some(e) = self.entry(row.machine, row.task).filter(|e| e.attempt == row.attempt)
+            {
+                e.page = Some(no);
+                if e.state == State::Planned {
+                    e.state = State::Committed;
+                }
+                self.pages.hold(no);
             }
         }
-        for ((machine, task), (attempt, page)) in durable {
-            let m = self.machines.entry(machine).or_insert_with(|| Machine::new(now));
-            if m.entries.is_empty() {
-                m.page = page;
+        self.plans.clear();
+        let mut ended = Vec::new();
+        for (id, m) in &self.machines {
+            for (task, e) in &m.entries {
+                match e.state {
+                    State::Planned | State::Committed if e.kill.is_some() => {
+                        ended.push((*id, *task))
+                    }
+                    State::Planned => self.plans.push_back((*id, *task)),
+                    _ => {}
+                }
             }
-            let spec = book.get(task.job).and_then(|e| e.spec.clone());
-            let over = book.get(task.job).is_none_or(|e| e.state != JobState::Open);
+        }
+        for (machine, task) in ended {
+            self.end(now, machine, task, false, 0.0);
+        }
+    }
+
+    /// After a takeover: what earlier holders placed may or may not be there.
+    fn inherit(&mut self, now: Time, rows: Vec<(Row, PageNo)>, book: &JobBook) {
+        // Guard 3: a task that is done has exited, and of several rows for one
+        // task only the newest can be on a machine.
+        let jobs = &self.jobs;
+        let done = |t: &TaskId| jobs.get(&t.job).is_some_and(|j| j.progress.has(t.index));
+        let rows = blocks::newest_rows(rows.into_iter().filter(|(r, _)| !done(&r.task)));
+        for (row, no) in rows {
+            let spec = book.get(row.task.job).and_then(|e| e.spec.clone());
+            let over = book.get(row.task.job).is_none_or(|e| e.state != JobState::Open);
             // Without a description its size is unknown: the machine is full.
             let need =
                 spec.as_ref().map_or(Need { cpus: 1e9, gpus: 0.0, memory_gb: 0.0 }, |s| need_of(s));
+            let team =
+                spec.as_ref().and_then(|s| self.team_names.iter().position(|n| *n == s.team));
+            let m = self.machines.entry(row.machine).or_insert_with(|| Machine::new(now));
             m.entries.insert(
-                task,
+                row.task,
                 Entry {
-                    attempt,
+                    attempt: row.attempt,
                     need,
-                    team: spec
-                        .as_ref()
-                        .and_then(|s| self.team_names.iter().position(|n| *n == s.team)),
+                    team,
                     state: State::Inherited,
                     kill: over.then_some(0.0),
                     flying: false,
                     started: None,
+                    page: Some(no),
                 },
             );
-            if let Some(job) = self.jobs.get_mut(&task.job) {
-                *job.live.entry(task.index).or_insert(0) += 1;
+            self.pages.hold(no);
+            if let Some(job) = self.jobs.get_mut(&row.task.job) {
+                *job.live.entry(row.task.index).or_insert(0) += 1;
             }
         }
-        if !self.loaded {
-            log::info!(
-                "loaded {} jobs and {} machines from the pages",
-                self.jobs.len(),
-                self.machines.len()
-            );
-            // What was reported meanwhile was not taken in: ask again.
-            for m in self.machines.values_mut() {
-                m.last = None;
-            }
+        log::info!(
+            "loaded {} jobs and {} machines from the pages",
+            self.jobs.len(),
+            self.machines.len()
+        );
+        // What was reported meanwhile was not taken in: ask again.
+        for m in self.machines.values_mut() {
+            m.last = None;
         }
-        self.loaded = true;
-        self.replan = true;
     }
 
-    /// The page for a new machine: the first that is less than half full.
-    pub(super) fn home_page(&self) -> usize {
-        let mut load: BTreeMap<usize, usize> = BTreeMap::new();
-        for m in self.machines.values() {
-            // A machine that stands empty will be filled.
-            *load.entry(m.page).or_default() += m.entries.len().max(8);
-        }
-        let mut page = 0;
-        while load.get(&page).copied().unwrap_or(0) > self.rows_per_page / 2 {
-            page += 1;
-        }
-        page
-    }
+    // ---- changing ----
 
-    /// One transaction carries all that changed: pages, progress, finished jobs.
+    /// One transaction carries all that changed: finished jobs, new pages,
+    /// progress, and the removal of pages whose tasks have all ended.
     pub(super) fn commit(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
         if self.flying.is_some() || self.load.is_some() || now < self.retry_at {
             return;
         }
-        let max_puts = ledger.max_puts();
-        let max_when = ledger.max_conditions();
+        let shelve = now.since(self.shelved_at) >= SHELVE_S;
+        let (max_puts, max_when) = (ledger.max_puts(), ledger.max_conditions());
         let mut txn = Txn::default();
         // Guard 1: whoever lost the block can commit nothing.
         txn.when(BLOCK, Stamp(self.token.0));
-        let mut flying = Flying { pages: vec![], chunks: vec![], finals: vec![], cleaned: vec![] };
-        let dirty: Vec<usize> = self.dirty.iter().copied().collect();
-        for page in dirty {
-            if txn.puts() + 1 > max_puts.div_ceil(2).max(1) {
-                break;
-            }
-            let jobs: BTreeSet<JobId> = self
-                .machines
-                .values()
-                .filter(|m| m.page == page)
-                .flat_map(|m| m.entries.iter())
-                .filter(|(_, e)| e.state == State::Planned)
-                .map(|(t, _)| t.job)
-                .collect();
-            if txn.conditions() + jobs.len() + 8 > max_when {
-                if !flying.pages.is_empty() {
-                    break;
-                }
-                // Too many jobs for one transaction: some wait for the next.
-                self.unplan_beyond(now, page, max_when.saturating_sub(txn.conditions() + 8));
-                self.replan = true;
-            }
-            let rows = self.machines.iter().filter(|(_, m)| m.page == page).flat_map(|(id, m)| {
-                m.entries.iter().filter(|(_, e)| e.state != State::Ended).map(|(t, e)| Row {
-                    machine: *id,
-                    task: *t,
-                    attempt: e.attempt,
-                })
-            });
-            let value = blocks::encode_page(rows);
-            if !txn.has_room(wire::json_len(&value) + 2_048) {
-                break;
-            }
-            let stamp = self.stamps.get(page).copied().unwrap_or(Stamp(0));
-            txn.write(blocks::page_key(page), stamp, value, None);
-            // Guard 2: a placement rests on its job being neither cancelled
-            // nor done.
-            let planned = self
-                .machines
-                .values()
-                .filter(|m| m.page == page)
-                .flat_map(|m| m.entries.iter())
-                .filter(|(_, e)| e.state == State::Planned)
-                .map(|(t, _)| t.job);
-            for job in planned {
-                if let Some(j) = self.jobs.get(&job) {
-                    txn.when(jobs::key(job), j.stamp);
-                }
-            }
-            flying.pages.push(page);
-        }
-        for (id, job) in &mut self.jobs {
-            if txn.puts() >= max_puts || txn.conditions() + 2 > max_when || !txn.has_room(4_096) {
-                break;
-            }
-            if job.state != JobState::Open {
-                continue;
-            }
-            // `done` is written only when every task is, and on condition that
-            // nobody cancelled the job meanwhile.
-            if job.complete() {
-                txn.write(jobs::key(*id), job.stamp, jobs::done_record(job.spec.tasks), None);
-                flying.finals.push(*id);
+        let mut flying = Flying {
+            pages: Vec::new(),
+            shelved: Shelved::default(),
+            finals: Vec::new(),
+            dead: Vec::new(),
+        };
+        // `done` is written only when every task is, and on condition that
+        // nobody cancelled the job meanwhile.
+        while txn.puts() < (max_puts / 2).max(1) && txn.has_room(4_096) {
+            let Some(id) = self.complete.pop_first() else { break };
+            let Some(job) = self.jobs.get(&id).filter(|j| j.state == JobState::Open) else {
                 continue;
-            }
-            for chunk in job.progress.dirty().collect::<Vec<_>>() {
-                if txn.puts() >= max_puts {
+            };
+            txn.write(jobs::key(id), job.stamp, jobs::done_record(job.spec.tasks), None);
+            flying.finals.push(id);
+        }
+        // One write stays for progress, without which nothing is cleared.
+        while txn.puts() + 1 < max_puts && self.add_page(&mut txn, max_when - 8, &mut flying) {}
+        if shelve {
+            let due: Vec<usize> = self.shelves.due().collect();
+            for shelf in due {
+                if txn.puts() >= max_puts || !txn.has_room(self.value_limit + 256) {
                     break;
                 }
-                if let Some((stamp, value)) = job.progress.value(chunk) {
-                    txn.write(blocks::progress_key(*id, chunk), stamp, value, None);
-                    job.progress.sent(chunk);
-                    flying.chunks.push((*id, chunk));
+                let stamp = self.shelves.stamp(shelf);
+                let value = self.shelves.send(shelf, &mut flying.shelved, &mut self.jobs);
+                if let Some(value) = value {
+                    txn.write(progress::shelf_key(shelf), stamp, value, None);
+                    self.shelved_at = now;
                 }
             }
         }
-        for ((id, chunk), stamp) in &self.leftovers {
-            if txn.puts() + 2 >= max_puts || flying.cleaned.len() >= 3 {
-                break;
-            }
-            txn.delete(blocks::progress_key(*id, *chunk), *stamp);
-            flying.cleaned.push((*id, *chunk));
-        }
+        self.clean_up(now, ledger, &mut txn, max_puts, &mut flying);
         if txn.puts() == 0 {
             return;
         }
-        for m in self.machines.values_mut() {
-            if flying.pages.contains(&m.page) {
-                for e in m.entries.values_mut() {
-                    if matches!(e.state, State::Planned | State::Ended) {
-                        e.flying = true;
-                    }
-                }
-            }
-        }
-        for page in &flying.pages {
-            self.dirty.remove(page);
-        }
         self.flying = Some(flying);
         self.retry_at = now.plus(0.02);
         ledger.commit(now, Priority::Place, Tag::Place(PlaceCall::Commit), txn);
     }
 
-    fn unplan_beyond(&mut self, now: Time, page: usize, keep: usize) {
-        let mut seen: BTreeSet<JobId> = BTreeSet::new();
-        let mut drop = Vec::new();
-        for (id, m) in self.machines.iter().filter(|(_, m)| m.page == page) {
-            for (task, e) in &m.entries {
-                if e.state == State::Planned && !e.flying && !seen.contains(&task.job) {
-                    if seen.len() < keep {
-                        seen.insert(task.job);
-                    } else {
-                        drop.push((*id, *task));
-                    }
+    /// One more page with the next plans; false when none went in.
+    fn add_page(&mut self, txn: &mut Txn, max_when: usize, flying: &mut Flying) -> bool {
+        if !txn.has_room(self.value_limit + 2_048) {
+            return false;
+        }
+        let mut rows: Vec<Row> = Vec::new();
+        while rows.len() < self.rows_per_page && txn.conditions() < max_when {
+            let Some((machine, task)) = self.plans.pop_front() else { break };
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let stamp = job.stamp;
+            let Some(e) = self.entry(machine, task) else { continue };
+            if e.state != State::Planned || e.flying {
+                continue;
+            }
+            e.flying = true;
+            rows.push(Row { machine, task, attempt: e.attempt });
+            // Guard 2: a placement rests on its job being neither cancelled
+            // nor done.
+            txn.when(jobs::key(task.job), stamp);
+        }
+        if rows.is_empty() {
+            return false;
+        }
+        let mut value = blocks::encode_page(&rows);
+        // Longer names than usual: fewer rows fit.
+        while wire::json_len(&value) > self.value_limit && rows.len() > 1 {
+            for row in rows.split_off(rows.len() / 2).into_iter().rev() {
+                if let Some(e) = self.entry(row.machine, row.task) {
+                    e.flying = false;
                 }
+                self.plans.push_front((row.machine, row.task));
             }
+            value = blocks::encode_page(&rows);
         }
-        for (machine, task) in drop {
-            self.end(now, machine, task, false, 0.0);
+        let key = self.pages.fresh_key();
+        txn.write(key.clone(), Stamp(0), value, None);
+        flying.pages.push((key, rows));
+        true
+    }
+
+    /// Removals wait until writes are to spare: they only tidy up.
+    fn clean_up(
+        &mut self,
+        now: Time,
+        ledger: &mut Ledger<Tag>,
+        txn: &mut Txn,
+        max_puts: usize,
+        flying: &mut Flying,
+    ) {
+        let (level, rate) = ledger.writes_left(now);
+        let spare = (level - txn.puts() as f64 - rate * 0.4).max(0.0) as usize;
+        let crowded = self.pages.dead_count().saturating_sub(DEAD_PAGES);
+        let mut room = max_puts.saturating_sub(txn.puts()).min(spare.max(crowded));
+        for (no, key, stamp) in self.pages.dead().take(room) {
+            txn.delete(key, stamp);
+            flying.dead.push(no);
+        }
+        room -= flying.dead.len();
+        let empty: Vec<usize> = self.shelves.empty().take(room).collect();
+        for shelf in empty {
+            txn.delete(progress::shelf_key(shelf), self.shelves.stamp(shelf));
+            self.shelves.remove(shelf, &mut flying.shelved);
+            room -= 1;
+        }
+        if room > 0 {
+            let open = |id: JobId| self.jobs.contains_key(&id);
+            let keys: Vec<(String, Stamp)> =
+                self.shelves.outdated(&open).take(room).map(|(k, s)| (k.clone(), s)).collect();
+            for (key, stamp) in keys {
+                txn.delete(key.clone(), stamp);
+                self.shelves.clean(key, &mut flying.shelved);
+            }
         }
     }
 
@@ -335,14 +347,15 @@
         match reply.outcome {
             Outcome::Ok(body) => {
                 let Ok(done) = wire::decode::<Committed>(&body) else {
+                    self.not_committed(now, flying);
                     self.reload();
                     return Verdict::Fine;
                 };
-                self.committed(flying, Stamp(done.rev), book);
+                self.committed(now, flying, Stamp(done.rev), book);
                 Verdict::Confirmed(sent)
             }
             Outcome::Conflict(failed) => {
-                self.not_committed(now, &flying);
+                self.not_committed(now, flying);
                 if failed.iter().any(|k| k == BLOCK) {
                     return Verdict::Deposed;
                 }
@@ -361,13 +374,13 @@
                 Verdict::RefreshJobs
             }
             Outcome::Refused => {
-                self.not_committed(now, &flying);
+                self.not_committed(now, flying);
                 self.retry_at = now.plus(0.15);
                 Verdict::Fine
             }
             // Whether it was or will be applied is unknown: read again.
             _ => {
-                self.dirty.extend(&flying.pages);
+                self.not_committed(now, flying);
                 self.reload();
                 Verdict::RefreshJobs
             }
@@ -375,73 +388,67 @@
     }
 
     fn unplan_job(&mut self, now: Time, id: JobId) {
-        let mut drop = Vec::new();
-        for (machine, m) in &self.machines {
-            for (task, e) in &m.entries {
-                if task.job == id && e.state == State::Planned && !e.flying {
-                    drop.push((*machine, *task));
-                }
+        let planned: Vec<(MachineId, TaskId)> =
+            self.plans.iter().filter(|(_, t)| t.job == id).copied().collect();
+        for (machine, task) in planned {
+            if self.entry(machine, task).is_some_and(|e| e.state == State::Planned) {
+                self.end(now, machine, task, false, 0.3);
             }
         }
-        for (machine, task) in drop {
-            self.end(now, machine, task, false, 0.3);
-        }
     }
 
-    fn committed(&mut self, flying: Flying, stamp: Stamp, book: &mut JobBook) {
-        for page in &flying.pages {
-            if *page >= self.stamps.len() {
-                self.stamps.resize(page + 1, Stamp(0));
-            }
-            self.stamps[*page] = stamp;
-        }
-        let mut emptied = Vec::new();
-        for (id, m) in &mut self.machines {
-            if !flying.pages.contains(&m.page) {
-                continue;
-            }
-            m.entries.retain(|_, e| !(e.flying && e.state == State::Ended));
-            for e in m.entries.values_mut().filter(|e| e.flying) {
+    fn committed(&mut self, now: Time, flying: Flying, stamp: Stamp, book: &mut JobBook) {
+        let mut ended = Vec::new();
+        for (key, rows) in flying.pages {
+            let no = self.pages.add(key, stamp);
+            for row in rows {
+                // What was given up meanwhile never gets its `run`.
+                let Some(e) = self.entry(row.machine, row.task) else { continue };
+                if e.attempt != row.attempt {
+                    continue;
+                }
                 e.flying = false;
-                if e.state == State::Planned {
-                    e.state = State::Committed;
+                e.state = State::Committed;
+                e.page = Some(no);
+                if e.kill.is_some() {
+                    ended.push((row.machine, row.task));
                 }
+                self.pages.hold(no);
             }
-            if m.entries.is_empty() && m.draining && m.heard.is_none() {
-                emptied.push(*id);
-            }
-        }
-        for id in emptied {
-            self.machines.remove(&id);
         }
-        for (id, chunk) in &flying.chunks {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.progress.written(*chunk, stamp);
-            }
+        for (machine, task) in ended {
+            self.end(now, machine, task, false, 0.0);
         }
-        for id in &flying.finals {
-            book.wrote(*id, stamp, JobState::Done, None);
-            if let Some(job) = self.jobs.get_mut(id) {
+        self.shelves.written(flying.shelved, stamp, &mut self.jobs);
+        for id in flying.finals {
+            book.wrote(id, stamp, JobState::Done, None);
+            if let Some(job) = self.jobs.get_mut(&id) {
                 job.state = JobState::Done;
                 job.stamp = stamp;
+                self.closing.insert(id);
             }
             log::debug!("{id} is done");
         }
-        for key in &flying.cleaned {
-            self.leftovers.remove(key);
+        for no in flying.dead {
+            self.pages.removed(no);
         }
     }
 
-    fn not_committed(&mut self, now: Time, flying: &Flying) {
-        self.dirty.extend(&flying.pages);
-        for m in self.machines.values_mut() {
-            for e in m.entries.values_mut() {
-                e.flying = false;
+    fn not_committed(&mut self, now: Time, flying: Flying) {
+        for (_, rows) in flying.pages.into_iter().rev() {
+            for row in rows.into_iter().rev() {
+                if let Some(e) = self.entry(row.machine, row.task) {
+                    if e.attempt == row.attempt && e.state == State::Planned {
+                        e.flying = false;
+                        self.plans.push_front((row.machine, row.task));
+                    }
+                }
             }
         }
-        for (id, chunk) in &flying.chunks {
-            if let Some(j) = self.jobs.get_mut(id) {
-                j.progress.unsent(*chunk);
+        self.shelves.unwritten(&flying.shelved, &mut self.jobs);
+        for id in flying.finals {
+            if self.jobs.get(&id).is_some_and(|j| j.state == JobState::Open) {
+                self.complete.insert(id);
             }
         }
         self.retry_at = now.plus(0.05);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,17 +5,18 @@
 //! that bring the state service and the workers towards it. The numbered
 //! guards are those of `docs/safety.md`.
 
-use crate::blocks::{self, Progress, Row};
+use crate::blocks::{self, PageNo, Pages, Row};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::leader::BLOCK;
 use crate::ledger::{Committed, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
 use crate::node::Tag;
+use crate::progress::{self, Open, Progress, Shelved, Shelves};
 use crate::settings::Settings;
 use crate::split::{Demand, Need, Shape, EPSILON};
 use crate::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
 use crate::wire;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -85,8 +86,6 @@
     Seen(Phase),
     /// Found in a page of an earlier holder: it may or may not be there.
     Inherited,
-    /// Proven to be off the machine; the page does not say so yet.
-    Ended,
 }
 
 #[derive(Clone, Debug)]
@@ -98,6 +97,8 @@
     kill: Option<f64>,
     flying: bool,
     started: Option<Time>,
+    /// The page that names it, once committed.
+    page: Option<PageNo>,
 }
 
 #[derive(Debug)]
@@ -120,8 +121,9 @@
     ghosts: Vec<(TaskId, Attempt)>,
     images: Vec<String>,
     pub idle_since: Time,
-    page: usize,
     errors: u32,
+    /// It refused a task for which our books saw room: until then, no more.
+    refuses_until: Time,
     pub sick: bool,
     /// Run times here over those expected, and how many tell so.
     pace: (f64, u32),
@@ -146,15 +148,15 @@
             ghosts: Vec::new(),
             images: Vec::new(),
             idle_since: now,
-            page: 0,
             errors: 0,
+            refuses_until: Time::default(),
             sick: false,
             pace: (1.0, 0),
             slow: false,
         }
     }
     pub fn is_empty(&self) -> bool {
-        self.ghosts.is_empty() && self.entries.values().all(|e| e.state == State::Ended)
+        self.ghosts.is_empty() && self.entries.is_empty()
     }
     pub fn shape(&self) -> Option<usize> {
         self.shape
@@ -231,6 +233,12 @@
     }
 }
 
+impl Open for BTreeMap<JobId, Job> {
+    fn progress(&mut self, job: JobId) -> Option<(u32, &mut Progress)> {
+        self.get_mut(&job).map(|j| (j.spec.tasks, &mut j.progress))
+    }
+}
+
 pub fn need_of(spec: &JobSpec) -> Need {
     Need { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
 }
@@ -243,10 +251,11 @@
 }
 
 struct Flying {
-    pages: Vec<usize>,
-    chunks: Vec<(JobId, u32)>,
+    /// The new pages with what they place.
+    pages: Vec<(String, Vec<Row>)>,
+    shelved: Shelved,
     finals: Vec<JobId>,
-    cleaned: Vec<(JobId, u32)>,
+    dead: Vec<PageNo>,
 }
 
 struct Load {
@@ -292,11 +301,18 @@
     report_s: f64,
     margin_s: f64,
     rows_per_page: usize,
+    value_limit: usize,
     machines: BTreeMap<MachineId, Machine>,
     jobs: BTreeMap<JobId, Job>,
-    stamps: Vec<Stamp>,
-    dirty: BTreeSet<usize>,
-    leftovers: BTreeMap<(JobId, u32), Stamp>,
+    pages: Pages,
+    shelves: Shelves,
+    shelved_at: Time,
+    /// Planned, in this order, and not yet in a transaction.
+    plans: VecDeque<(MachineId, TaskId)>,
+    /// Jobs all of whose tasks are done, though their key does not say so yet.
+    complete: BTreeSet<JobId>,
+    /// Jobs that are over, until nothing of them is left anywhere.
+    closing: BTreeSet<JobId>,
     load: Option<Load>,
     loaded: bool,
     stopped: bool,
@@ -329,9 +345,13 @@
             rows_per_page: blocks::rows_per_page(settings.value_limit()),
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            stamps: Vec::new(),
-            dirty: BTreeSet::new(),
-            leftovers: BTreeMap::new(),
+            pages: Pages::new(token),
+            shelves: Shelves::new(settings.value_limit()),
+            shelved_at: Time::default(),
+            plans: VecDeque::new(),
+            complete: BTreeSet::new(),
+            closing: BTreeSet::new(),
+            value_limit: settings.value_limit(),
             load: None,
             loaded: false,
             stopped: false,
@@ -447,7 +467,7 @@
         let Some(m) = self.machines.get(&id) else { return };
         let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { return };
         let mut free = shape.cpus;
-        for (task, e) in m.entries.iter().filter(|(_, e)| e.state != State::Ended) {
+        for (task, e) in &m.entries {
             free -= e.need.cpus;
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
@@ -489,6 +509,8 @@
             job.stamp = entry.stamp;
             if job.state == JobState::Open && entry.state != JobState::Open {
                 job.state = entry.state;
+                self.closing.insert(id);
+                self.complete.remove(&id);
                 self.wind_up(now, id);
             }
             return;
@@ -510,19 +532,10 @@
                 None => continue,
             };
             for task in tasks {
-                let state = match self.entry(machine, task) {
-                    Some(e) if !e.flying => {
-                        e.kill = Some(0.0);
-                        e.state
-                    }
-                    Some(e) => {
-                        e.kill = Some(0.0);
-                        continue;
-                    }
-                    None => continue,
-                };
+                let Some(e) = self.entry(machine, task) else { continue };
+                e.kill = Some(0.0);
                 // `run` was never sent, or proven lost: it cannot be there.
-                if matches!(state, State::Planned | State::Committed) {
+                if matches!(e.state, State::Planned | State::Committed) {
                     self.end(now, machine, task, false, 0.0);
                 }
             }
@@ -536,31 +549,33 @@
     /// Guard 3: called only with proof that the task is off the machine.
     fn end(&mut self, now: Time, machine: MachineId, task: TaskId, done: bool, delay: f64) {
         let Some(m) = self.machines.get_mut(&machine) else { return };
-        let Some(e) = m.entries.get_mut(&task) else { return };
-        if e.state == State::Ended {
-            return;
+        let Some(e) = m.entries.remove(&task) else { return };
+        if let Some(page) = e.page {
+            self.pages.release(page);
         }
-        // A plan that no transaction carries was never in a page.
-        let gone = e.state == State::Planned && !e.flying;
-        e.state = State::Ended;
-        if gone {
-            m.entries.remove(&task);
-        } else {
-            self.dirty.insert(m.page);
-        }
-        if m.entries.values().all(|e| e.state == State::Ended) {
+        if m.entries.is_empty() {
             m.idle_since = now;
         }
         self.replan = true;
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.release(task.index);
-            if done {
-                job.progress.set(task.index);
-                job.retry.remove(&task.index);
-            } else if !job.progress.has(task.index) {
+            if !done && !job.progress.has(task.index) {
                 job.retry.insert(task.index, now.plus(delay));
             }
         }
+        if done {
+            self.mark_done(task);
+        }
+    }
+
+    fn mark_done(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.retry.remove(&task.index);
+        job.progress.set(task.index);
+        self.shelves.touch(task.job, task.index, job.spec.tasks);
+        if job.complete() && job.state == JobState::Open {
+            self.complete.insert(task.job);
+        }
     }
 
     // ---- the loops ----
@@ -597,39 +612,18 @@
             self.replan = false;
             self.plan(now, wall, settings, shapes);
         }
-        self.sweep(now);
+        self.sweep();
         self.commit(now, ledger);
     }
 
-    /// Entries whose job is over and whose `run` never went out; jobs that
-    /// have left nothing behind.
-    fn sweep(&mut self, now: Time) {
-        let mut ended = Vec::new();
-        for (id, m) in &self.machines {
-            for (task, e) in &m.entries {
-                if e.kill.is_some()
-                    && !e.flying
-                    && matches!(e.state, State::Planned | State::Committed)
-                {
-                    ended.push((*id, *task));
-                }
-            }
-        }
-        for (machine, task) in ended {
-            self.end(now, machine, task, false, 0.0);
-        }
-        let over: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.state != JobState::Open && j.live.is_empty())
-            .map(|(id, _)| *id)
-            .collect();
+    /// Jobs that are over and have left nothing behind.
+    fn sweep(&mut self) {
+        let gone = |id: &JobId| self.jobs.get(id).is_none_or(|j| j.live.is_empty());
+        let over: Vec<JobId> = self.closing.iter().filter(|id| gone(id)).copied().collect();
         for id in over {
-            if let Some(job) = self.jobs.remove(&id) {
-                for (chunk, stamp) in job.progress.stored() {
-                    self.leftovers.insert((id, chunk), stamp);
-                }
-            }
+            self.closing.remove(&id);
+            self.jobs.remove(&id);
+            self.shelves.forget(id);
         }
     }
 }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -10,18 +10,12 @@
             id: MachineId,
             shape: usize,
             free: Need,
-            rows: usize,
             used: bool,
         }
         let mut rooms: Vec<Room> = Vec::new();
-        let mut rows: BTreeMap<usize, usize> = BTreeMap::new();
         for (id, m) in &self.machines {
-            *rows.entry(m.page).or_default() += m.entries.len();
             let mut free = m.shape.and_then(|s| shapes.get(s)).map(Shape::room).unwrap_or_default();
             for (task, e) in &m.entries {
-                if e.state == State::Ended {
-                    continue;
-                }
                 free.sub(&e.need);
                 if let Some(t) = e.team {
                     team_used[t].0 += e.need.cpus;
@@ -42,14 +36,9 @@
             }
             let alive = m.heard.is_some_and(|h| now.since(h) < self.report_s * 2.0 + 1.0);
             if let Some(shape) = m.shape {
-                if alive && m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow {
-                    rooms.push(Room {
-                        id: *id,
-                        shape,
-                        free,
-                        rows: m.entries.len(),
-                        used: !m.is_empty(),
-                    });
+                let willing = now >= m.refuses_until;
+                if alive && willing && m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow {
+                    rooms.push(Room { id: *id, shape, free, used: !m.is_empty() });
                 }
             }
         }
@@ -84,7 +73,8 @@
             order.push((u8::MAX - j.spec.urgency as u8, late, over, left, *id));
         }
         order.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)).then(a.3.total_cmp(&b.3)));
-        let mut budget = 200usize;
+        // No more than the next few transactions can carry.
+        let mut budget = (self.rows_per_page * 4).saturating_sub(self.plans.len());
         let mut pressed: Vec<Pressed> = Vec::new();
         for (_, late, _, _, id) in order {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -136,11 +126,6 @@
                         }
                     }
                     let Some(m) = self.machines.get_mut(&r.id) else { break };
-                    if *rows.get(&m.page).unwrap_or(&0) >= self.rows_per_page
-                        || r.rows >= self.rows_per_page
-                    {
-                        break;
-                    }
                     let in_zones = zones.entry(id).or_default();
                     // Guards against `wrong_place`, given the job's other tasks.
                     if spec.one_zone && in_zones.keys().any(|z| *z != m.zone) {
@@ -168,12 +153,11 @@
                             kill: None,
                             flying: false,
                             started: None,
+                            page: None,
                         },
                     );
-                    self.dirty.insert(m.page);
+                    self.plans.push_back((r.id, task));
                     *in_zones.entry(m.zone.clone()).or_default() += 1;
-                    *rows.entry(m.page).or_default() += 1;
-                    r.rows += 1;
                     r.used = true;
                     r.free.sub(&need);
                     job.retry.remove(&index);
@@ -226,7 +210,7 @@
                 let Some(job) = self.jobs.get(&task.job) else { continue };
                 let ran = e.started.map_or(0.0, |s| now.since(s));
                 let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
-                if e.kill.is_some() && e.state != State::Ended {
+                if e.kill.is_some() {
                     lacking -= e.need.cpus;
                 } else if matches!(e.state, State::Seen(_)) && job.spec.urgency >= top {
                     // Its room comes free by itself in time.
--- a/src/placement/reports.rs
+++ b/src/placement/reports.rs
@@ -16,14 +16,10 @@
         let Some(id) = MachineId::parse(&report.host) else { return Vec::new() };
         let moment = Moment { tenure: report.tenure, tick: report.tick };
         let ours = report.baton == self.token.0;
-        if !self.machines.contains_key(&id) {
-            let page = self.home_page();
-            let mut m = Machine::new(now);
-            m.page = page;
-            self.machines.insert(id, m);
+        let m = self.machines.entry(id).or_insert_with(|| {
             self.replan = true;
-        }
-        let Some(m) = self.machines.get_mut(&id) else { return Vec::new() };
+            Machine::new(now)
+        });
         m.answered = Some(now);
         // Guard 3: a report that is not newer than the last proves nothing.
         if m.last.is_some_and(|l| l >= moment) {
@@ -77,7 +73,7 @@
             let here =
                 pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p);
             match here {
-                Some(p) if state != State::Ended => match p.status.as_str() {
+                Some(p) => match p.status.as_str() {
                     "exited" => self.exited(now, id, task, p.cause.as_deref()),
                     status => {
                         let phase = match status {
@@ -102,9 +98,8 @@
                         }
                     }
                 },
-                Some(_) => {}
                 None => match state {
-                    State::Planned | State::Committed | State::Ended => {}
+                    State::Planned | State::Committed => {}
                     // A newer tenure forgot all that came before it, and what
                     // an answer to the earlier one said is dropped.
                     State::Sent(_) | State::Seen(_) if newer_tenure && ours => {
@@ -132,7 +127,7 @@
             .collect();
         let known = |task: &TaskId, attempt: &Attempt| {
             let entry = self.machines.get(&id).and_then(|m| m.entries.get(task));
-            entry.is_some_and(|e| e.attempt == *attempt && e.state != State::Ended)
+            entry.is_some_and(|e| e.attempt == *attempt)
         };
         let ghosts: Vec<(TaskId, Attempt)> =
             live.into_iter().filter(|(task, attempt)| !known(task, attempt)).collect();
@@ -172,13 +167,20 @@
                 let delay = self.failed(now, id, task.job);
                 self.end(now, id, task, false, delay);
             }
-            Some("full") => self.end(now, id, task, false, 0.5),
+            // Something is there that our books don't know: try elsewhere.
+            Some("full") => {
+                self.refused(now, id);
+                self.end(now, id, task, false, 0.5)
+            }
             Some("unknown") => {
                 log::info!("{id} does not know {task}");
                 self.end(now, id, task, false, 2.0);
             }
             // Another attempt stands there: the next report shows it as a ghost.
-            Some("in_use") => self.end(now, id, task, false, 1.0),
+            Some("in_use") => {
+                self.refused(now, id);
+                self.end(now, id, task, false, 1.0)
+            }
             Some("stopped") => self.end(now, id, task, false, 0.0),
             other => {
                 // Guard 5: exited is exited, but only `done` counts as done.
@@ -188,6 +190,12 @@
         }
     }
 
+    fn refused(&mut self, now: Time, id: MachineId) {
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.refuses_until = now.plus(self.report_s * 2.0 + 1.0);
+        }
+    }
+
     /// Run times correct the estimates of a class, and tell slow machines.
     fn learn_run(&mut self, now: Time, id: MachineId, task: TaskId) {
         let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else { return };
@@ -284,31 +292,16 @@
         for (task, attempt) in &m.ghosts {
             orders.push(order("kill", *task, *attempt, Some(0.0)));
         }
-        for p in &report.pieces {
+        for p in report.pieces.iter().filter(|p| p.status == "exited") {
             let Some(task) = TaskId::parse(&p.piece) else { continue };
-            if p.status != "exited"
-                || m.entries.get(&task).is_some_and(|e| e.attempt.0 == p.attempt)
-            {
+            if self.entry(id, task).is_some_and(|e| e.attempt.0 == p.attempt) {
                 continue;
             }
-            // A result that we lost track of still counts, and is cleared only
-            // once the state service knows it.
-            let mut clear = true;
-            if p.cause.as_deref() == Some("done") {
-                if let Some(job) = self.jobs.get_mut(&task.job) {
-                    if job.spec.kind == JobKind::Batch && task.index < job.spec.tasks {
-                        if !job.progress.has(task.index) && !job.live.contains_key(&task.index) {
-                            job.progress.set(task.index);
-                        }
-                        clear =
-                            job.progress.durable(task.index) || job.live.contains_key(&task.index);
-                    }
-                }
-            }
-            if clear {
+            if p.cause.as_deref() != Some("done") || self.keeps_result(task) {
                 orders.push(order("clear", task, Attempt(p.attempt), None));
             }
         }
+        let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in &mut m.entries {
             match e.state {
                 // Guard 2: `run` only after the commit, only while the job is
@@ -329,6 +322,21 @@
         orders
     }
 
+    /// A result counts even if we lost track of its task, and may be cleared
+    /// only once the state service knows it.
+    fn keeps_result(&mut self, task: TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return true };
+        if job.spec.kind != JobKind::Batch || task.index >= job.spec.tasks {
+            return true;
+        }
+        let live = job.live.contains_key(&task.index);
+        let durable = job.progress.durable(task.index);
+        if !live && !job.progress.has(task.index) {
+            self.mark_done(task);
+        }
+        live || durable
+    }
+
     /// The cloud has confirmed that the machine and all on it are gone.
     pub fn machine_gone(&mut self, now: Time, id: MachineId) {
         let tasks: Vec<TaskId> = match self.machines.get(&id) {
--- /dev/null
+++ b/src/progress.rs
@@ -0,0 +1,473 @@
+//! Which tasks of a job are done, and the shelves that keep this in the state
+//! service.
+//!
+//! A shelf is one value that holds the progress of many jobs, so that a second
+//! in which fifty tasks end costs one or two writes rather than one per job.
+
+use crate::blocks::PROGRESS_PREFIX;
+use crate::types::{JobId, Stamp};
+use crate::wire::{self, BadBody};
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Tasks per progress chunk: 8,192 bits are 2,048 hexadecimal digits.
+pub const CHUNK: u32 = 8_192;
+const SHELF_VERSION: u32 = 2;
+/// JSON length of a shelf's frame and of an item without its digits.
+const FRAME_BYTES: usize = 64;
+const ITEM_BYTES: usize = 34;
+
+/// Which tasks of a job are done, in chunks that are stored one by one.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    chunks: BTreeMap<u32, Chunk>,
+    count: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Chunk {
+    bits: Vec<u8>,
+    dirty: bool,
+    flying: bool,
+}
+
+impl Progress {
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    pub fn has(&self, index: u32) -> bool {
+        let (chunk, at) = (index / CHUNK, index % CHUNK);
+        let byte = self.chunks.get(&chunk).and_then(|c| c.bits.get((at / 8) as usize));
+        byte.is_some_and(|b| b & (1 << (at % 8)) != 0)
+    }
+
+    pub fn set(&mut self, index: u32) {
+        if self.has(index) {
+            return;
+        }
+        let (chunk, at) = (index / CHUNK, (index % CHUNK) as usize);
+        let c = self.chunks.entry(chunk).or_default();
+        if c.bits.len() <= at / 8 {
+            c.bits.resize(at / 8 + 1, 0);
+        }
+        if let Some(b) = c.bits.get_mut(at / 8) {
+            *b |= 1 << (at % 8);
+        }
+        c.dirty = true;
+        self.count += 1;
+    }
+
+    /// Whether the state service knows that this task is done.
+    pub fn durable(&self, index: u32) -> bool {
+        self.has(index) && self.chunks.get(&(index / CHUNK)).is_some_and(|c| !c.dirty && !c.flying)
+    }
+
+    pub fn dirty(&self) -> impl Iterator<Item = u32> + '_ {
+        self.chunks.iter().filter(|(_, c)| c.dirty).map(|(n, _)| *n)
+    }
+
+    fn digits(&self, chunk: u32) -> Option<String> {
+        let c = self.chunks.get(&chunk)?;
+        let digit = |n: u8| char::from_digit(u32::from(n), 16).unwrap_or('0');
+        Some(c.bits.iter().flat_map(|b| [digit(b >> 4), digit(b & 15)]).collect())
+    }
+
+    /// The chunk is on its way as it is now; what is set later is dirty again.
+    fn sent(&mut self, chunk: u32) {
+        if let Some(c) = self.chunks.get_mut(&chunk) {
+            c.flying = c.dirty;
+            c.dirty = false;
+        }
+    }
+
+    fn unsent(&mut self, chunk: u32) {
+        if let Some(c) = self.chunks.get_mut(&chunk) {
+            c.dirty |= c.flying;
+            c.flying = false;
+        }
+    }
+
+    fn written(&mut self, chunk: u32) {
+        if let Some(c) = self.chunks.get_mut(&chunk) {
+            c.flying = false;
+        }
+    }
+
+    /// Takes in what the state service holds; what only we know stays dirty.
+    fn merge(&mut self, chunk: u32, digits: &str) -> Result<(), BadBody> {
+        if !digits.len().is_multiple_of(2) || !digits.is_ascii() {
+            return Err(BadBody);
+        }
+        let mut stored = Vec::with_capacity(digits.len() / 2);
+        for at in (0..digits.len()).step_by(2) {
+            stored.push(u8::from_str_radix(&digits[at..at + 2], 16).map_err(|_| BadBody)?);
+        }
+        let c = self.chunks.entry(chunk).or_default();
+        let before: u32 = c.bits.iter().map(|b| b.count_ones()).sum();
+        let len = stored.len().max(c.bits.len());
+        c.bits.resize(len, 0);
+        stored.resize(len, 0);
+        for (b, s) in c.bits.iter_mut().zip(&stored) {
+            *b |= s;
+        }
+        c.dirty = c.bits != stored;
+        c.flying = false;
+        let after: u32 = c.bits.iter().map(|b| b.count_ones()).sum();
+        self.count += after - before;
+        Ok(())
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct ShelfRecord {
+    v: u32,
+    /// job/chunk -> bits of the tasks that are done
+    s: BTreeMap<String, String>,
+}
+
+/// The form of the version before: one key per job and chunk.
+#[derive(Deserialize)]
+struct ChunkRecord {
+    v: u32,
+    b: String,
+}
+
+type Item = (JobId, u32);
+
+#[derive(Default)]
+struct Shelf {
+    stamp: Stamp,
+    items: BTreeMap<Item, usize>,
+    bytes: usize,
+    dirty: bool,
+}
+
+/// Open jobs, by whose progress shelves are filled and read.
+pub trait Open {
+    /// The number of tasks and the progress of a job that is open.
+    fn progress(&mut self, job: JobId) -> Option<(u32, &mut Progress)>;
+}
+
+/// Where each job's progress is kept, and what has to be written.
+pub struct Shelves {
+    limit: usize,
+    shelves: Vec<Shelf>,
+    home: BTreeMap<Item, usize>,
+    /// Keys of the form before, to be removed when their job is over.
+    old: BTreeMap<String, (JobId, Stamp)>,
+}
+
+/// Shelves of one transaction, for its outcome.
+#[derive(Default)]
+pub struct Shelved {
+    written: Vec<(usize, Vec<Item>)>,
+    removed: Vec<usize>,
+    cleaned: Vec<String>,
+}
+
+pub fn shelf_key(shelf: usize) -> String {
+    format!("{PROGRESS_PREFIX}s{shelf:04}")
+}
+
+impl Shelves {
+    pub fn new(value_limit: usize) -> Shelves {
+        Shelves {
+            limit: value_limit.saturating_sub(FRAME_BYTES),
+            shelves: Vec::new(),
+            home: BTreeMap::new(),
+            old: BTreeMap::new(),
+        }
+    }
+
+    /// A task of this chunk is newly done: its shelf has to be written.
+    pub fn touch(&mut self, job: JobId, index: u32, tasks: u32) {
+        let item = (job, index / CHUNK);
+        let shelf = match self.home.get(&item) {
+            Some(shelf) => *shelf,
+            None => {
+                let bits = tasks.saturating_sub(item.1 * CHUNK).min(CHUNK) as usize;
+                let bytes = ITEM_BYTES + bits.div_ceil(8) * 2;
+                let free = |s: &Shelf| s.bytes + bytes <= self.limit;
+                let shelf = match self.shelves.iter().position(free) {
+                    Some(shelf) => shelf,
+                    None => {
+                        self.shelves.push(Shelf::default());
+                        self.shelves.len() - 1
+                    }
+                };
+                self.settle(item, shelf, bytes);
+                shelf
+            }
+        };
+        if let Some(s) = self.shelves.get_mut(shelf) {
+            s.dirty = true;
+        }
+    }
+
+    fn settle(&mut self, item: Item, shelf: usize, bytes: usize) {
+        self.home.insert(item, shelf);
+        if let Some(s) = self.shelves.get_mut(shelf) {
+            s.items.insert(item, bytes);
+            s.bytes += bytes;
+        }
+    }
+
+    /// The job is over: what is known of its tasks is needed no more.
+    pub fn forget(&mut self, job: JobId) {
+        let items: Vec<Item> =
+            self.home.range((job, 0)..=(job, u32::MAX)).map(|(i, _)| *i).collect();
+        for item in items {
+            let Some(s) = self.home.remove(&item).and_then(|s| self.shelves.get_mut(s)) else {
+                continue;
+            };
+            if let Some(bytes) = s.items.remove(&item) {
+                s.bytes -= bytes;
+            }
+        }
+    }
+
+    /// Shelves to write, and empty ones to remove.
+    pub fn due(&self) -> impl Iterator<Item = usize> + '_ {
+        let due = |s: &Shelf| s.dirty && !s.items.is_empty();
+        self.shelves.iter().enumerate().filter(move |(_, s)| due(s)).map(|(n, _)| n)
+    }
+
+    pub fn empty(&self) -> impl Iterator<Item = usize> + '_ {
+        let empty = |s: &Shelf| s.items.is_empty() && s.stamp != Stamp(0);
+        self.shelves.iter().enumerate().filter(move |(_, s)| empty(s)).map(|(n, _)| n)
+    }
+
+    /// Old keys whose job is over.
+    pub fn outdated<'a>(
+        &'a self,
+        open: &'a dyn Fn(JobId) -> bool,
+    ) -> impl Iterator<Item = (&'a String, Stamp)> + 'a {
+        self.old.iter().filter(move |(_, (job, _))| !open(*job)).map(|(k, (_, s))| (k, *s))
+    }
+
+    pub fn stamp(&self, shelf: usize) -> Stamp {
+        self.shelves.get(shelf).map_or(Stamp(0), |s| s.stamp)
+    }
+
+    /// The shelf as it is now goes out with a transaction.
+    pub fn send(
+        &mut self,
+        shelf: usize,
+        sent: &mut Shelved,
+        open: &mut impl Open,
+    ) -> Option<Value> {
+        let s = self.shelves.get_mut(shelf)?;
+        s.dirty = false;
+        let mut record = ShelfRecord { v: SHELF_VERSION, s: BTreeMap::new() };
+        let mut items = Vec::new();
+        for (job, chunk) in s.items.keys() {
+            let Some((_, p)) = open.progress(*job) else { continue };
+            if let Some(digits) = p.digits(*chunk) {
+                record.s.insert(format!("{job}/{chunk}"), digits);
+                p.sent(*chunk);
+                items.push((*job, *chunk));
+            }
+        }
+        sent.written.push((shelf, items));
+        Some(wire::to_value(&record))
+    }
+
+    pub fn remove(&mut self, shelf: usize, sent: &mut Shelved) {
+        sent.removed.push(shelf);
+    }
+
+    pub fn clean(&mut self, key: String, sent: &mut Shelved) {
+        sent.cleaned.push(key);
+    }
+
+    pub fn written(&mut self, sent: Shelved, stamp: Stamp, open: &mut impl Open) {
+        for (shelf, items) in sent.written {
+            if let Some(s) = self.shelves.get_mut(shelf) {
+                s.stamp = stamp;
+            }
+            for (job, chunk) in items {
+                if let Some((_, p)) = open.progress(job) {
+                    p.written(chunk);
+                }
+            }
+        }
+        for shelf in sent.removed {
+            if let Some(s) = self.shelves.get_mut(shelf) {
+                s.stamp = Stamp(0);
+            }
+        }
+        for key in sent.cleaned {
+            self.old.remove(&key);
+        }
+    }
+
+    pub fn unwritten(&mut self, sent: &Shelved, open: &mut impl Open) {
+        for (shelf, items) in &sent.written {
+            if let Some(s) = self.shelves.get_mut(*shelf) {
+                s.dirty = true;
+            }
+            for (job, chunk) in items {
+                if let Some((_, p)) = open.progress(*job) {
+                    p.unsent(*chunk);
+                }
+            }
+        }
+    }
+
+    /// What the state service holds replaces what we thought of the stamps.
+    pub fn begin_reading(&mut self) {
+        self.old.clear();
+        for s in &mut self.shelves {
+            s.stamp = Stamp(0);
+            s.dirty |= !s.items.is_empty();
+        }
+    }
+
+    /// Takes in one stored value, of this form or the one before.
+    pub fn read(
+        &mut self,
+        key: &str,
+        stamp: Stamp,
+        value: &Value,
+        open: &mut impl Open,
+    ) -> Result<(), BadBody> {
+        let rest = key.strip_prefix(PROGRESS_PREFIX).ok_or(BadBody)?;
+        if let Some(number) = rest.strip_prefix('s') {
+            let shelf: usize = number.parse().map_err(|_| BadBody)?;
+            let record: ShelfRecord = wire::from_value(value)?;
+            if record.v != SHELF_VERSION || shelf > 100_000 {
+                return Err(BadBody);
+            }
+            if shelf >= self.shelves.len() {
+                self.shelves.resize_with(shelf + 1, Shelf::default);
+            }
+            self.shelves[shelf].stamp = stamp;
+            for (name, digits) in &record.s {
+                let item = item_of(name).ok_or(BadBody)?;
+                let Some((tasks, progress)) = open.progress(item.0) else { continue };
+                progress.merge(item.1, digits)?;
+                if self.home.contains_key(&item) {
+                    continue;
+                }
+                let bits = tasks.saturating_sub(item.1 * CHUNK).min(CHUNK) as usize;
+                let bytes = ITEM_BYTES + bits.div_ceil(8) * 2;
+                self.settle(item, shelf, bytes);
+            }
+            return Ok(());
+        }
+        let item = item_of(rest).ok_or(BadBody)?;
+        let record: ChunkRecord = wire::from_value(value)?;
+        if record.v != 1 {
+            return Err(BadBody);
+        }
+        self.old.insert(key.to_string(), (item.0, stamp));
+        if let Some((_, progress)) = open.progress(item.0) {
+            progress.merge(item.1, &record.b)?;
+        }
+        Ok(())
+    }
+}
+
+fn item_of(name: &str) -> Option<Item> {
+    let (job, chunk) = name.split_once('/')?;
+    Some((JobId::parse(job)?, chunk.parse().ok()?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Default)]
+    struct Jobs {
+        tasks: u32,
+        jobs: BTreeMap<JobId, Progress>,
+    }
+
+    impl Jobs {
+        fn of(&mut self, n: u32) -> &mut Progress {
+            self.jobs.entry(job(n)).or_default()
+        }
+    }
+
+    impl Open for Jobs {
+        fn progress(&mut self, job: JobId) -> Option<(u32, &mut Progress)> {
+            Some((self.tasks, self.jobs.get_mut(&job)?))
+        }
+    }
+
+    fn job(n: u32) -> JobId {
+        JobId::parse(&format!("job-{n:06}")).expect("job")
+    }
+
+    #[test]
+    fn progress_of_a_huge_job_stays_within_small_values() {
+        let mut ours = Jobs { tasks: 100_000, ..Jobs::default() };
+        let mut shelves = Shelves::new(8 * 1024);
+        for i in (0..100_000).step_by(2) {
+            ours.of(1).set(i);
+            shelves.touch(job(1), i, 100_000);
+        }
+        let mut theirs = Jobs { tasks: 100_000, ..Jobs::default() };
+        theirs.of(1).set(1);
+        let mut copy = Shelves::new(8 * 1024);
+        let due: Vec<usize> = shelves.due().collect();
+        assert_eq!(due.len(), 4, "three chunks of 2,048 digits fit one shelf");
+        for shelf in due {
+            let mut sent = Shelved::default();
+            let value = shelves.send(shelf, &mut sent, &mut ours).expect("value");
+            assert!(wire::json_len(&value) <= 8 * 1024);
+            copy.read(&shelf_key(shelf), Stamp(5), &value, &mut theirs).expect("sound");
+            shelves.written(sent, Stamp(5), &mut ours);
+        }
+        let (p, q) = (ours.of(1), theirs.of(1));
+        assert_eq!((p.count(), q.count()), (50_000, 50_001));
+        assert!(p.durable(8_192 * 2));
+        assert!(q.durable(8_192 * 2) && !q.durable(1), "what only we know is not durable");
+    }
+
+    #[test]
+    fn many_small_jobs_share_a_shelf_and_leave_it_empty() {
+        let mut all = Jobs { tasks: 60, ..Jobs::default() };
+        let mut shelves = Shelves::new(8 * 1024);
+        for n in 0..100 {
+            all.of(n).set(n % 60);
+            shelves.touch(job(n), n % 60, 60);
+        }
+        assert_eq!(shelves.due().count(), 1);
+        let mut sent = Shelved::default();
+        let value = shelves.send(0, &mut sent, &mut all).expect("value");
+        assert!(wire::json_len(&value) <= 8 * 1024);
+        // What is set while the write is on its way is not taken for durable.
+        all.of(3).set(59);
+        shelves.touch(job(3), 59, 60);
+        shelves.written(sent, Stamp(9), &mut all);
+        assert!(all.of(4).durable(4) && !all.of(3).durable(59));
+        assert_eq!(shelves.due().collect::<Vec<_>>(), [0]);
+        (0..100).for_each(|n| shelves.forget(job(n)));
+        assert_eq!(shelves.due().count(), 0);
+        assert_eq!(shelves.empty().collect::<Vec<_>>(), [0]);
+    }
+
+    #[test]
+    fn the_form_before_is_read_and_others_are_refused() {
+        let mut jobs = Jobs { tasks: 4, ..Jobs::default() };
+        jobs.of(7);
+        let mut shelves = Shelves::new(8 * 1024);
+        let old = wire::to_value(&serde_json::json!({"v": 1, "b": "05"}));
+        shelves.read("d/job-000007/0", Stamp(3), &old, &mut jobs).expect("sound");
+        let p = jobs.of(7);
+        assert!(p.has(0) && !p.has(1) && p.has(2));
+        let open = |_: JobId| false;
+        assert_eq!(shelves.outdated(&open).count(), 1, "removed once the job is over");
+        for (key, value) in [
+            ("d/s0000", serde_json::json!({"v": 9, "s": {}})),
+            ("d/job-000007/0", serde_json::json!({"v": 3, "b": ""})),
+            ("d/else", serde_json::json!({"v": 2})),
+        ] {
+            let value = wire::to_value(&value);
+            assert!(shelves.read(key, Stamp(1), &value, &mut jobs).is_err(), "{key}");
+        }
+    }
+}
