--- a/src/net.rs
+++ b/src/net.rs
@@ -404,7 +404,9 @@
 
     fn response(&mut self, slot: usize) {
         let Some(conn) = self.conns.get_mut(slot).and_then(Option::as_mut) else { return };
-        let Kind::Call { current, .. } = &mut conn.kind else { return };
+        let Kind::Call { dest, current } = &mut conn.kind else { return };
+        // Thousands of workers are called now and then: none keeps a socket.
+        let once = matches!(dest, Dest::Worker(_));
         if current.is_none() {
             // Nothing was asked: whatever this is, the connection is no good.
             if !conn.inbuf.is_empty() {
@@ -416,7 +418,7 @@
             Ok(None) => {}
             Ok(Some(response)) => {
                 let id = current.take().map(|(id, _)| id);
-                if response.close {
+                if response.close || once {
                     self.close(slot);
                 } else {
                     conn.inbuf.shrink_to(16 * 1024);
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,7 +12,7 @@
 use crate::peers::{self, Frame, Peers};
 use crate::placement::{Counts, Order, PlaceCall, Placement, Report, Verdict};
 use crate::settings::{Operator, Settings};
-use crate::types::{CallId, JobId, MachineId, RequestId, Time, WallMs};
+use crate::types::{CallId, JobId, MachineId, RequestId, Time, Token, WallMs};
 use crate::wire;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -405,21 +405,45 @@
             .collect();
         for (machine, endpoint) in targets {
             self.nudged.insert(machine, now);
-            self.next_call += 1;
-            let id = CallId(self.next_call);
-            self.nudges.insert(id, machine);
             // The tenure is unknown: any number will do, since even a refusal
             // for the tenure is answered after the token was compared, and
             // there is nothing to execute.
-            let body = wire::encode(&Direct { baton: token.0, tenure: 1, orders: Vec::new() });
-            out.push(Out::Call {
-                id,
-                dest: Dest::Worker(endpoint),
-                method: Method::Post,
-                path: "/do".into(),
-                body,
-                timeout_s: 2.0,
-            });
+            self.call_worker(machine, endpoint, token, 1, Vec::new(), out);
+        }
+    }
+
+    fn call_worker(
+        &mut self,
+        machine: MachineId,
+        endpoint: SocketAddrV4,
+        token: Token,
+        tenure: u64,
+        orders: Vec<Order>,
+        out: &mut Vec<Out>,
+    ) {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.nudges.insert(id, machine);
+        out.push(Out::Call {
+            id,
+            dest: Dest::Worker(endpoint),
+            method: Method::Post,
+            path: "/do".into(),
+            body: wire::encode(&Direct { baton: token.0, tenure, orders }),
+            timeout_s: 2.0,
+        });
+    }
+
+    /// Calls workers that have something to stop.
+    fn stop_tasks(&mut self, now: Time, out: &mut Vec<Out>) {
+        // Guard 4: only while we are entitled to command.
+        if !self.entitled(now) {
+            return;
+        }
+        let Some(place) = &mut self.place else { return };
+        let token = place.token();
+        for (machine, endpoint, tenure, orders) in place.take_stops() {
+            self.call_worker(machine, endpoint, token, tenure, orders, out);
         }
     }
 
@@ -450,6 +474,7 @@
                 self.place.as_mut(),
                 &mut self.ledger,
             );
+            self.stop_tasks(now, out);
             self.ledger.pump(now, &mut self.next_call, out);
             self.fleet.pump(now, &mut self.next_call, out);
             let refused = self.ledger.take_refused();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -289,6 +289,9 @@
     spec: Rc<JobSpec>,
 }
 
+/// Direct calls to workers that go out together.
+const MOST_STOPS: usize = 16;
+
 /// How much of its run time a task's order is brought forward by.
 const LONG_FIRST: f64 = 1.5;
 
@@ -307,6 +310,8 @@
     pages: Pages,
     shelves: Shelves,
     shelved_at: Time,
+    /// Machines on which something is to be stopped without delay.
+    stops: BTreeSet<MachineId>,
     /// Planned, in this order, and not yet in a transaction.
     plans: VecDeque<(MachineId, TaskId)>,
     /// Jobs all of whose tasks are done, though their key does not say so yet.
@@ -348,6 +353,7 @@
             pages: Pages::new(token),
             shelves: Shelves::new(settings.value_limit()),
             shelved_at: Time::default(),
+            stops: BTreeSet::new(),
             plans: VecDeque::new(),
             complete: BTreeSet::new(),
             closing: BTreeSet::new(),
@@ -537,6 +543,8 @@
                 // `run` was never sent, or proven lost: it cannot be there.
                 if matches!(e.state, State::Planned | State::Committed) {
                     self.end(now, machine, task, false, 0.0);
+                } else {
+                    self.stops.insert(machine);
                 }
             }
         }
--- a/src/placement/reports.rs
+++ b/src/placement/reports.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+fn order(verb: &'static str, task: TaskId, attempt: Attempt, wind: Option<f64>) -> Order {
+    Order { verb, piece: task.to_string(), attempt: attempt.0, wind_down_s: wind }
+}
+
 impl Placement {
     // ---- workers ----
 
@@ -267,12 +271,6 @@
         book: &JobBook,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
-        let order = |verb, task: TaskId, attempt: Attempt, wind| Order {
-            verb,
-            piece: task.to_string(),
-            attempt: attempt.0,
-            wind_down_s: wind,
-        };
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         if let Some(notice) = report.reclaim_in_s {
             // A task that can save does so before the machine is taken, unless
@@ -301,6 +299,7 @@
                 orders.push(order("clear", task, Attempt(p.attempt), None));
             }
         }
+        self.stops.remove(&id);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in &mut m.entries {
             match e.state {
@@ -322,6 +321,29 @@
         orders
     }
 
+    /// Workers to call directly since they have something to stop and their next
+    /// report may be long in coming.
+    ///
+    /// `run` never goes this way, since a held packet could act late. A `kill`
+    /// may: it names one attempt.
+    pub fn take_stops(&mut self) -> Vec<(MachineId, SocketAddrV4, u64, Vec<Order>)> {
+        let mut calls = Vec::new();
+        let due: Vec<MachineId> = self.stops.iter().take(MOST_STOPS).copied().collect();
+        for id in due {
+            self.stops.remove(&id);
+            let Some(m) = self.machines.get(&id).filter(|m| m.synced) else { continue };
+            let (Some(endpoint), Some(last)) = (m.endpoint, m.last) else { continue };
+            let stop = |e: &Entry| matches!(e.state, State::Seen(_)) && e.kill.is_some();
+            let kills = m.entries.iter().filter(|(_, e)| stop(e));
+            let orders: Vec<Order> =
+                kills.map(|(t, e)| order("kill", *t, e.attempt, e.kill)).collect();
+            if !orders.is_empty() {
+                calls.push((id, endpoint, last.tenure, orders));
+            }
+        }
+        calls
+    }
+
     /// A result counts even if we lost track of its task, and may be cleared
     /// only once the state service knows it.
     fn keeps_result(&mut self, task: TaskId) -> bool {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -434,7 +434,7 @@
                 else {
                     return;
                 };
-                let reply = w.direct(self.now, &decode(&body));
+                let reply = w.direct(self.now, &decode(&body), &self.jobs, self.doubles);
                 let at = self.now + 3_000;
                 self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
                 self.push(self.now + 500_000, Event::Report { machine });
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -191,13 +191,26 @@
         self.next_node(now, nodes)
     }
 
-    pub fn direct(&mut self, now: Us, body: &Value) -> (u16, Vec<u8>) {
+    pub fn direct(
+        &mut self,
+        now: Us,
+        body: &Value,
+        jobs: &BTreeMap<String, JobPlan>,
+        doubles: Doubles,
+    ) -> (u16, Vec<u8>) {
         self.expire(now);
         let (Some(baton), Some(tenure)) = (body["baton"].as_u64(), body["tenure"].as_u64()) else {
             return (400, wire::encode(&json!({})));
         };
         let status = if baton < self.baton || tenure != self.tenure { 409 } else { 200 };
         self.baton = self.baton.max(baton);
+        if status == 200 {
+            for order in body["orders"].as_array().into_iter().flatten() {
+                // Guard 2: `run` must never come this way.
+                assert_ne!(order["verb"], "run", "a direct `run` could act late");
+                self.execute(now, order, jobs, doubles);
+            }
+        }
         (status, wire::encode(&self.body(now, Doubles::default())))
     }
 
