Room held ready follows what arrives, not the queue that built up

Two faults: the mean gap was taken over a window that empties, so a class that had dried up counted as live again; and the widest open width of 150 s included the queue of the burst, not just load.

Change: ready room follows the load that arrivals make (width for a run time), the gap is remembered.

--- a/src/market.rs
+++ b/src/market.rs
@@ -83,6 +83,50 @@
     setup_s: f64,
 }
 
+/// Arrivals of a class that may not wait, and the load they make.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// When a job came, its width, and until when its tasks would run had they
+    /// all started at once.
+    jobs: VecDeque<(Time, f64, Time)>,
+    /// Load over time: the width of all that would run.
+    loads: VecDeque<(Time, f64)>,
+    last: Option<Time>,
+    gap_s: f64,
+}
+
+impl Arrivals {
+    fn came(&mut self, now: Time, width: f64, run_s: f64) {
+        if let Some(last) = self.last {
+            let gap = now.since(last);
+            self.gap_s = if self.gap_s > 0.0 { self.gap_s * 0.9 + gap * 0.1 } else { gap };
+        }
+        self.last = Some(now);
+        self.jobs.push_back((now, width, now.plus(run_s)));
+        if self.jobs.len() > 512 {
+            self.jobs.pop_front();
+        }
+    }
+
+    /// The widest load of late. Counted by what arrived, not by what is open:
+    /// a queue that has built up says nothing of what comes next.
+    fn widest(&mut self, now: Time) -> f64 {
+        self.jobs.retain(|(_, _, until)| *until > now);
+        if self.loads.back().is_none_or(|(at, _)| now.since(*at) >= 1.0) {
+            self.loads.push_back((now, self.jobs.iter().map(|(_, width, _)| width).sum()));
+        }
+        while self.loads.front().is_some_and(|(at, _)| now.since(*at) > WATCH_S) {
+            self.loads.pop_front();
+        }
+        self.loads.iter().map(|(_, w)| *w).fold(0.0, f64::max)
+    }
+
+    /// Nothing has come for several times the usual gap.
+    fn dry(&self, now: Time) -> bool {
+        self.last.is_none_or(|at| now.since(at) > (self.gap_s * DRY_GAPS).max(15.0))
+    }
+}
+
 /// Most tasks that one look ahead follows; guards processor time.
 const LOOK_AHEAD: u32 = 1_500;
 
@@ -144,8 +188,7 @@
     flying: bool,
     dirty: bool,
     retry_at: Time,
-    widths: BTreeMap<String, VecDeque<(Time, f64)>>,
-    arrivals: BTreeMap<String, VecDeque<Time>>,
+    waiting: BTreeMap<String, Arrivals>,
     restored: BTreeMap<JobId, (usize, f64)>,
     /// The latest job of each class that may not wait.
     typical: BTreeMap<String, Demand>,
@@ -170,8 +213,7 @@
             flying: false,
             dirty: false,
             retry_at: Time::default(),
-            widths: BTreeMap::new(),
-            arrivals: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             restored: BTreeMap::new(),
             typical: BTreeMap::new(),
             runs: None,
@@ -240,7 +282,7 @@
             }
         }
         let mut queues: BTreeMap<usize, Vec<Queued>> = BTreeMap::new();
-        let mut widths: BTreeMap<String, f64> = BTreeMap::new();
+        let mut open: BTreeMap<String, f64> = BTreeMap::new();
         self.jobs.values_mut().for_each(|h| h.alive = false);
         for d in demands {
             let Some((shape, fit)) = split::cheapest(shapes, d, &exclusive) else { continue };
@@ -250,7 +292,7 @@
             let left = f64::from(d.left);
             let wait = settings.aim("wait", &d.class);
             if wait.is_some() {
-                *widths.entry(d.class.clone()).or_default() += left;
+                *open.entry(d.class.clone()).or_default() += left;
                 self.typical.insert(d.class.clone(), d.clone());
             }
             if !d.spot {
@@ -280,6 +322,10 @@
             let late = window < d.run_s * 0.5;
             let fetch = if s.fetch_gb_per_s > 0.0 { d.image_gb / s.fetch_gb_per_s } else { 0.0 };
             let setup = s.boot_s * 1.2 + fetch;
+            if wait.is_some() && !self.jobs.contains_key(&d.job) {
+                let load = self.waiting.entry(d.class.clone()).or_default();
+                load.came(now, left, d.run_s + fetch);
+            }
             let held = self.held(now, d, window, &mut owned_left);
             let beta = self.learner.pair(held.0).1;
             let y = left * d.run_s / self.slot_s;
@@ -323,36 +369,14 @@
                 wants.entry(shape).or_default().short = short / cpus;
             }
         }
-        let waiting: Vec<String> = settings
-            .params
-            .objectives
-            .iter()
-            .filter(|o| o.kind == "wait")
-            .map(|o| o.class.clone())
-            .collect();
-        for class in waiting {
-            let current = widths.get(&class).copied().unwrap_or(0.0);
-            let seen = self.widths.entry(class.clone()).or_default();
-            if seen.back().is_none_or(|(at, _)| now.since(*at) >= 1.0) {
-                seen.push_back((now, current));
-            }
-            while seen.front().is_some_and(|(at, _)| now.since(*at) > WATCH_S) {
-                seen.pop_front();
-            }
-            let Some(d) = self.typical.get(&class) else { continue };
+        for (class, arrivals) in &mut self.waiting {
+            let Some(d) = self.typical.get(class) else { continue };
             let Some((shape, fit)) = split::cheapest(shapes, d, &exclusive) else { continue };
-            // The next burst comes before a boot is over, so the widest that
-            // was seen stays ready, and more; but not for a class of which
-            // nothing has come for long.
-            let came = self.arrivals.entry(class.clone()).or_default();
-            while came.front().is_some_and(|at| now.since(*at) > WATCH_S) {
-                came.pop_front();
-            }
-            let watched = now.since(self.began).clamp(1.0, WATCH_S);
-            let gap = watched / came.len().max(1) as f64;
-            let dry = came.back().is_none_or(|at| now.since(*at) > (gap * DRY_GAPS).max(15.0));
-            let high = seen.iter().map(|(_, w)| *w).fold(0.0, f64::max) * READY;
-            if high > current && !dry {
+            // The next burst comes before a boot is over, so the widest load
+            // that was seen stays ready, and more.
+            let high = arrivals.widest(now) * READY;
+            let current = open.get(class).copied().unwrap_or(0.0);
+            if high > current && !arrivals.dry(now) {
                 wants.entry(shape).or_default().ready += (high - current) / f64::from(fit.max(1));
             }
         }
@@ -377,11 +401,6 @@
             }
         };
         *owned_left -= owned * d.need.cpus;
-        let came = self.arrivals.entry(d.class.clone()).or_default();
-        came.push_back(now);
-        if came.len() > 512 {
-            came.pop_front();
-        }
         self.longest = self.longest.max(slots.min(720.0));
         let past = Past { delta: f64::from(d.left), z, d: slots };
         self.jobs.insert(d.job, Held { pair, owned, past, began: now, alive: true });
@@ -504,6 +523,24 @@
         assert_eq!(shortfall(&Pool::new(), &mut [queued(2, Some(45.0))]), 8.0);
     }
 
+    /// A drained burst once made room for 135 machines a minute after the last
+    /// job: a class that has dried up stays dry, and a queue is no load.
+    #[test]
+    fn room_held_ready_follows_what_arrives() {
+        let at = |s: f64| Time::from_micros(100_000_000).plus(s);
+        let mut a = Arrivals::default();
+        for i in 0..30 {
+            a.came(at(f64::from(i) * 2.0), 10.0, 20.0);
+            a.widest(at(f64::from(i) * 2.0));
+        }
+        assert_eq!(a.widest(at(59.0)), 100.0, "ten jobs of ten run at once");
+        assert!(!a.dry(at(65.0)));
+        for s in 75..400 {
+            assert!(a.dry(at(f64::from(s))), "dry at {s} s");
+        }
+        assert_eq!(a.widest(at(400.0)), 0.0);
+    }
+
     #[test]
     fn nothing_is_bought_that_would_come_too_late() {
         assert_eq!(shortfall(&Pool::new(), &mut [queued(2, Some(10.0))]), 0.0);
