--- a/src/node.rs
+++ b/src/node.rs
@@ -100,6 +100,7 @@
     nudged: BTreeMap<MachineId, Time>,
     nudges: BTreeMap<CallId, MachineId>,
     started: Time,
+    stepped_back: Option<Time>,
 }
 
 impl Node {
@@ -118,6 +119,7 @@
             nudged: BTreeMap::new(),
             nudges: BTreeMap::new(),
             started: now,
+            stepped_back: None,
             settings,
             operator,
         }
@@ -378,8 +380,16 @@
         if self.settings.members.is_empty() || now.since(place.took()) < w.report_s * 3.0 + 3.0 {
             return;
         }
+        // Machines that are gone are silent to every controller. Who has stepped
+        // back already, and leads again, stays until silence is proof; else the
+        // lead goes round for ever and nothing is ever proven.
+        let proof_s = self.settings.answer_limit_s() + w.lease_s;
+        if self.stepped_back.is_some_and(|at| now.since(at) < proof_s * 3.0 + 30.0) {
+            return;
+        }
         let (heard, silent) = place.hearing(now);
         if silent >= 2 && silent > heard * 2 {
+            self.stepped_back = Some(now);
             log::info!("most workers are silent here; stepping back");
             let standing = self.leader.step_back(now, &mut self.ledger);
             self.on_standing(now, standing);
