Tasks placed ahead run with the answer that reports an end

Change: where a task is about to end by its estimate, one more is placed per level of urgency; its run goes out once the report shows room. Classes that may not wait are left out: they make room.

--- a/src/placement/books.rs
+++ b/src/placement/books.rs
@@ -184,6 +184,7 @@
                     flying: false,
                     started: None,
                     page: Some(no),
+                    ahead: None,
                 },
             );
             self.pages.hold(no);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -99,6 +99,9 @@
     started: Option<Time>,
     /// The page that names it, once committed.
     page: Option<PageNo>,
+    /// Placed before there was room, and when: it runs as soon as something
+    /// else ends there.
+    ahead: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -130,6 +133,13 @@
     pub slow: bool,
 }
 
+impl Entry {
+    /// Whether it may be on the machine, by all that was sent.
+    fn may_be_there(&self) -> bool {
+        !matches!(self.state, State::Planned | State::Committed)
+    }
+}
+
 impl Machine {
     fn new(now: Time) -> Machine {
         Machine {
@@ -161,6 +171,19 @@
     pub fn shape(&self) -> Option<usize> {
         self.shape
     }
+    /// Room beside what may be on it.
+    fn free(&self, shapes: &[Shape], jobs: &BTreeMap<JobId, Job>) -> Need {
+        let mut free = self.shape.and_then(|s| shapes.get(s)).map(Shape::room).unwrap_or_default();
+        for e in self.entries.values().filter(|e| e.may_be_there()) {
+            free.sub(&e.need);
+        }
+        for (task, _) in &self.ghosts {
+            if let Some(j) = jobs.get(&task.job) {
+                free.sub(&j.need());
+            }
+        }
+        free
+    }
     pub fn zone(&self) -> &str {
         &self.zone
     }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -18,6 +18,17 @@
     team_used: Vec<(f64, f64)>,
     zones: BTreeMap<JobId, BTreeMap<String, u32>>,
     budget: usize,
+    /// Machines where a task is about to end, once asked for.
+    soon: Option<Vec<Soon>>,
+}
+
+/// A machine where something is about to end.
+struct Soon {
+    id: MachineId,
+    /// Tasks that may end: seconds left, and their CPUs.
+    ends: Vec<(f64, f64)>,
+    /// The most urgent that waits there already.
+    ahead: Option<Urgency>,
 }
 
 /// A waiting job's place in the order.
@@ -46,6 +57,7 @@
 
 impl Placement {
     pub(super) fn plan(&mut self, now: Time, wall: WallMs, settings: &Settings, shapes: &[Shape]) {
+        self.settle_ahead(now, shapes);
         let mut round = self.round(now, settings, shapes);
         let order = self.order(now, wall, &round);
         let mut pressed: Vec<Pressed> = Vec::new();
@@ -59,6 +71,10 @@
                 }
             }
             for w in group {
+                // What may not wait makes room for itself instead.
+                if w.wait_s.is_none() {
+                    self.fill_ahead(now, &mut round, w.id, w.pressing);
+                }
                 let Some(job) = self.jobs.get(&w.id) else { continue };
                 let waiting = job.waiting();
                 if let (Some(within), true) = (w.wait_s, waiting > 0 && w.rank.1 < 2) {
@@ -83,11 +99,14 @@
             zones: BTreeMap::new(),
             // No more than the next few transactions can carry.
             budget: (self.rows_per_page * 4).saturating_sub(self.plans.len()),
+            soon: None,
         };
         for (id, m) in &self.machines {
-            let mut free = m.shape.and_then(|s| shapes.get(s)).map(Shape::room).unwrap_or_default();
+            let mut free = m.free(shapes, &self.jobs);
             for (task, e) in &m.entries {
-                free.sub(&e.need);
+                if e.ahead.is_none() && !e.may_be_there() {
+                    free.sub(&e.need);
+                }
                 if let Some(t) = e.team {
                     round.team_used[t].0 += e.need.cpus;
                     round.team_used[t].1 += e.need.gpus;
@@ -99,24 +118,196 @@
             }
             for (task, _) in &m.ghosts {
                 if let Some(j) = self.jobs.get(&task.job) {
-                    free.sub(&j.need());
                     if let Some(t) = settings.team(&j.spec.team) {
                         round.team_used[t].0 += j.spec.cpus;
                         round.team_used[t].1 += j.spec.gpus;
                     }
                 }
             }
-            let alive = m.heard.is_some_and(|h| now.since(h) < self.report_s * 2.0 + 1.0);
-            let willing = now >= m.refuses_until && free.cpus > EPSILON;
-            if let Some(shape) = m.shape {
-                if alive && willing && m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow {
-                    round.rooms.push(Room { id: *id, shape, free, used: !m.is_empty() });
-                }
+            if let Some(shape) = m.shape.filter(|_| free.cpus > EPSILON && self.usable(now, m)) {
+                round.rooms.push(Room { id: *id, shape, free, used: !m.is_empty() });
             }
         }
         round
     }
 
+    /// Whether a machine may get tasks.
+    fn usable(&self, now: Time, m: &Machine) -> bool {
+        let alive = m.heard.is_some_and(|h| now.since(h) < self.report_s * 2.0 + 1.0);
+        let willing = now >= m.refuses_until && m.synced && !m.reclaim && !m.draining;
+        alive && willing && !m.sick && !m.slow
+    }
+
+    /// How far ahead the end of a task is looked for: a machine that must wait
+    /// for its next report to get work stands idle for so long.
+    fn horizon_s(&self) -> f64 {
+        self.report_s * 2.0 + 1.0
+    }
+
+    /// What was placed ahead and fits by now counts like the rest; what has
+    /// waited in vain returns, for `run` never went out for it.
+    fn settle_ahead(&mut self, now: Time, shapes: &[Shape]) {
+        let patience = self.horizon_s() * 2.0;
+        let mut ended = Vec::new();
+        for (id, m) in &mut self.machines {
+            if m.entries.values().all(|e| e.ahead.is_none()) {
+                continue;
+            }
+            let mut free = m.free(shapes, &self.jobs);
+            for e in m.entries.values().filter(|e| e.ahead.is_none() && !e.may_be_there()) {
+                free.sub(&e.need);
+            }
+            for (task, e) in &mut m.entries {
+                let Some(since) = e.ahead else { continue };
+                if e.need.fits(&free) {
+                    free.sub(&e.need);
+                    e.ahead = None;
+                } else if now.since(since) > patience {
+                    ended.push((*id, *task));
+                }
+            }
+        }
+        for (machine, task) in ended {
+            self.end(now, machine, task, false, 0.0);
+        }
+    }
+
+    /// Machines where tasks are about to end, by estimates that are often wrong:
+    /// one that has run over its time may end at any moment.
+    fn soon(&self, now: Time) -> Vec<Soon> {
+        let horizon = self.horizon_s();
+        let mut soon = Vec::new();
+        for (id, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
+            let mut ends = Vec::new();
+            let mut ahead: Option<Urgency> = None;
+            for (task, e) in &m.entries {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                if e.ahead.is_some() {
+                    ahead = ahead.max(Some(job.spec.urgency));
+                }
+                let (State::Seen(Phase::Running), Some(started)) = (e.state, e.started) else {
+                    continue;
+                };
+                let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+                let left = (run_s - now.since(started)).max(0.0);
+                if job.spec.kind == JobKind::Batch && left < horizon {
+                    ends.push((left, e.need.cpus));
+                }
+            }
+            if !ends.is_empty() {
+                soon.push(Soon { id: *id, ends, ahead });
+            }
+        }
+        soon
+    }
+
+    /// Places tasks on machines where others are about to end, so that they run
+    /// with the answer to the report that says so.
+    fn fill_ahead(&mut self, now: Time, round: &mut Round, id: JobId, pressing: bool) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.waiting() > 0) else { return };
+        let spec = job.spec.clone();
+        let need = need_of(&spec);
+        if round.budget == 0 || spec.one_zone || spec.spread || spec.kind != JobKind::Batch {
+            return;
+        }
+        let mut soon = match round.soon.take() {
+            Some(soon) => soon,
+            None => self.soon(now),
+        };
+        let mut fits: Vec<(bool, f64, usize)> = Vec::new();
+        for (i, s) in soon.iter().enumerate() {
+            let Some(m) = self.machines.get(&s.id) else { continue };
+            let Some(shape) = m.shape.and_then(|s| round.shapes.get(s)) else { continue };
+            // A fetch that takes longer than the wait for a report saves nothing.
+            let image = m.images.contains(&spec.image);
+            let quick = spec.image_gb < self.report_s * shape.fetch_gb_per_s;
+            let allowed = (image || quick || pressing)
+                && spec.shapes.as_ref().is_none_or(|l| l.contains(&shape.label))
+                && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+                && (spec.spot || !m.spot);
+            if !allowed || s.ahead.is_some_and(|u| u >= spec.urgency) {
+                continue;
+            }
+            // What ends must leave room enough, whatever else comes.
+            let ends = s.ends.iter().filter(|(_, cpus)| *cpus + EPSILON >= need.cpus);
+            if let Some(left) = ends.map(|(left, _)| *left).min_by(f64::total_cmp) {
+                fits.push((!image, left, i));
+            }
+        }
+        fits.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, i) in fits {
+            let machine = soon[i].id;
+            if !self.put(now, round, machine, id, Some(now)) {
+                break;
+            }
+            soon[i].ahead = Some(spec.urgency);
+        }
+        round.soon = Some(soon);
+    }
+
+    /// Plans the job's next task for a machine; false when none may start.
+    fn put(
+        &mut self,
+        now: Time,
+        round: &mut Round,
+        machine: MachineId,
+        id: JobId,
+        ahead: Option<Time>,
+    ) -> bool {
+        let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.machines.get_mut(&machine)) else {
+            return false;
+        };
+        let need = job.need();
+        let team = round.settings.team(&job.spec.team);
+        // Guard: a team's tasks never use more than its limit, counted from the
+        // plan until proof of the end.
+        if let Some(t) = team {
+            let (_, cpus_max, _, gpus_max) = self.teams[t];
+            let used = &round.team_used[t];
+            if (cpus_max > 0.0 && used.0 + need.cpus > cpus_max + EPSILON)
+                || (gpus_max > 0.0 && used.1 + need.gpus > gpus_max + EPSILON)
+            {
+                return false;
+            }
+        }
+        if round.budget == 0 {
+            return false;
+        }
+        let Some(index) = job.next_task(now) else { return false };
+        let task = TaskId { job: id, index };
+        if m.entries.contains_key(&task) {
+            return false;
+        }
+        self.next_attempt += 1;
+        m.entries.insert(
+            task,
+            Entry {
+                attempt: Attempt(self.next_attempt),
+                need,
+                team,
+                state: State::Planned,
+                kill: None,
+                flying: false,
+                started: None,
+                page: None,
+                ahead,
+            },
+        );
+        // It will be fetched for this task: the next need not wait.
+        m.remember_image(&job.spec.image);
+        self.plans.push_back((machine, task));
+        let zones = round.zones.entry(id).or_default();
+        *zones.entry(m.zone.clone()).or_default() += 1;
+        job.retry.remove(&index);
+        *job.live.entry(index).or_insert(0) += 1;
+        if let Some(t) = team {
+            round.team_used[t].0 += need.cpus;
+            round.team_used[t].1 += need.gpus;
+        }
+        round.budget -= 1;
+        true
+    }
+
     /// The waiting jobs, in the order in which they get room.
     fn order(&self, now: Time, wall: WallMs, round: &Round) -> Vec<Waiting> {
         let mut order = Vec::new();
@@ -161,10 +352,9 @@
 
     /// Puts as many tasks of one job on machines as there is room for.
     fn fill(&mut self, now: Time, round: &mut Round, id: JobId, pass: Pass) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else { return };
         let spec = job.spec.clone();
         let need = need_of(&spec);
-        let team = round.settings.team(&spec.team);
         let half = spec.tasks.div_ceil(2);
         // First fit: the smaller type first, so that large machines stay
         // free for tasks that fit nowhere else; then where the image is;
@@ -192,68 +382,26 @@
             size(a).total_cmp(&size(b)).then(ka.cmp(kb))
         });
         for (i, _) in fits {
-            loop {
-                let r = &mut round.rooms[i];
-                if round.budget == 0 {
-                    return;
-                }
-                if !need.fits(&r.free) {
+            while need.fits(&round.rooms[i].free) {
+                let machine = round.rooms[i].id;
+                let Some(zone) = self.machines.get(&machine).map(|m| m.zone.as_str()) else {
                     break;
-                }
-                // Guard: a team's tasks never use more than its limit,
-                // counted from the plan until proof of the end.
-                if let Some(t) = team {
-                    let (_, cpus_max, _, gpus_max) = self.teams[t];
-                    let used = &round.team_used[t];
-                    if (cpus_max > 0.0 && used.0 + need.cpus > cpus_max + EPSILON)
-                        || (gpus_max > 0.0 && used.1 + need.gpus > gpus_max + EPSILON)
-                    {
-                        return;
-                    }
-                }
-                let Some(m) = self.machines.get_mut(&r.id) else { break };
+                };
                 let in_zones = round.zones.entry(id).or_default();
                 // Guards against `wrong_place`, given the job's other tasks.
-                if spec.one_zone && in_zones.keys().any(|z| *z != m.zone) {
+                if spec.one_zone && in_zones.keys().any(|z| z != zone) {
                     break;
                 }
                 // A task on a machine whose zone is not yet known may be in this one.
-                let there = in_zones.get(&m.zone).unwrap_or(&0) + in_zones.get("").unwrap_or(&0);
+                let there = in_zones.get(zone).unwrap_or(&0) + in_zones.get("").unwrap_or(&0);
                 if spec.spread && there >= half {
                     break;
                 }
-                let Some(index) = job.next_task(now) else { return };
-                let task = TaskId { job: id, index };
-                if m.entries.contains_key(&task) {
-                    break;
-                }
-                self.next_attempt += 1;
-                m.entries.insert(
-                    task,
-                    Entry {
-                        attempt: Attempt(self.next_attempt),
-                        need,
-                        team,
-                        state: State::Planned,
-                        kill: None,
-                        flying: false,
-                        started: None,
-                        page: None,
-                    },
-                );
-                // It will be fetched for this task: the next need not wait.
-                m.remember_image(&spec.image);
-                self.plans.push_back((r.id, task));
-                *in_zones.entry(m.zone.clone()).or_default() += 1;
-                r.used = true;
-                r.free.sub(&need);
-                job.retry.remove(&index);
-                *job.live.entry(index).or_insert(0) += 1;
-                if let Some(t) = team {
-                    round.team_used[t].0 += need.cpus;
-                    round.team_used[t].1 += need.gpus;
+                if !self.put(now, round, machine, id, None) {
+                    return;
                 }
-                round.budget -= 1;
+                round.rooms[i].used = true;
+                round.rooms[i].free.sub(&need);
             }
         }
     }
--- a/src/placement/reports.rs
+++ b/src/placement/reports.rs
@@ -1,6 +1,7 @@
 //! What workers report, what that proves, and what they are told.
 
 use super::*;
+use std::cmp::Reverse;
 
 fn order(verb: &'static str, task: TaskId, attempt: Attempt, wind: Option<f64>) -> Order {
     Order { verb, piece: task.to_string(), attempt: attempt.0, wind_down_s: wind }
@@ -54,7 +55,7 @@
             // report shows that it has seen it.
             return Vec::new();
         }
-        self.orders(now, id, moment, report, book)
+        self.orders(now, id, moment, report, shapes, book)
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -262,12 +263,14 @@
         delay
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn orders(
         &mut self,
         now: Time,
         id: MachineId,
         moment: Moment,
         report: &Report,
+        shapes: &[Shape],
         book: &JobBook,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
@@ -301,22 +304,33 @@
         }
         self.stops.remove(&id);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
-        for (task, e) in &mut m.entries {
-            match e.state {
-                // Guard 2: `run` only after the commit, only while the job is
-                // open, and only in this answer, which cannot act late.
-                State::Committed
-                    if e.kill.is_none()
-                        && book.get(task.job).is_some_and(|b| b.state == JobState::Open) =>
-                {
-                    e.state = State::Sent(moment);
-                    orders.push(order("run", *task, e.attempt, None));
-                }
-                State::Seen(_) if e.kill.is_some() => {
-                    orders.push(order("kill", *task, e.attempt, e.kill));
-                }
-                _ => {}
+        for (task, e) in m.entries.iter().filter(|(_, e)| e.kill.is_some()) {
+            if matches!(e.state, State::Seen(_)) {
+                orders.push(order("kill", *task, e.attempt, e.kill));
+            }
+        }
+        // What was placed into room that was there goes first, then, the more
+        // urgent first, what was placed ahead and fits by now.
+        let mut free = m.free(shapes, &self.jobs);
+        let urgency = |t: &TaskId| self.jobs.get(&t.job).map(|j| j.spec.urgency);
+        let mut runs: Vec<(TaskId, &mut Entry)> = m
+            .entries
+            .iter_mut()
+            .filter(|(_, e)| e.state == State::Committed && e.kill.is_none())
+            .map(|(t, e)| (*t, e))
+            .collect();
+        runs.sort_by_key(|(t, e)| (e.ahead.is_some(), Reverse(urgency(t)), e.attempt));
+        for (task, e) in runs {
+            // Guard 2: `run` only after the commit, only while the job is
+            // open, and only in this answer, which cannot act late.
+            let open = book.get(task.job).is_some_and(|b| b.state == JobState::Open);
+            if !open || e.ahead.is_some() && !e.need.fits(&free) {
+                continue;
             }
+            free.sub(&e.need);
+            e.ahead = None;
+            e.state = State::Sent(moment);
+            orders.push(order("run", task, e.attempt, None));
         }
         orders
     }
