Deadline jobs that can be in time: least work left first

Ruled out: more machines (all 13 of the type are rented).

Change: among jobs that can still be in time, the one with the least work left (tasks waiting times run time) goes first.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -315,9 +315,6 @@
 /// Direct calls to workers that go out together.
 const MOST_STOPS: usize = 16;
 
-/// How much of its run time a task's order is brought forward by.
-const LONG_FIRST: f64 = 1.5;
-
 pub struct Placement {
     token: Token,
     took: Time,
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -329,13 +329,13 @@
                 (None, Some(aim)) => age > aim * PATIENT,
                 (None, None) => age > run_s,
             };
-            // Others go by latest start, not by deadline: a long task that waits
-            // too long runs alone at the end, on a machine of its own. Arrays
-            // without a deadline keep their order of arrival.
+            // Of those that can make it, the one with the least work left goes
+            // first: where not all can be in time, most jobs are. Arrays without
+            // a deadline keep their order of arrival.
             let left = match (late, wait_s.is_some() || spec.due_s.is_none()) {
                 (true, _) => -run_s,
                 (false, true) => left,
-                (false, false) => left - run_s * LONG_FIRST,
+                (false, false) => f64::from(j.waiting()) * run_s,
             };
             // Likewise what can still start within its class's aim goes before
             // what has already waited longer.
