Slow machines are told by a job's tasks elsewhere; a job's own runs correct its estimate

Estimates miss by 40% per job, and a machine that ran three tasks of one underestimated job looked twice as slow as its class. Tasks inherited at a takeover counted as started then, which taught too short runs.

Change: a machine is compared with the same job's tasks elsewhere once four have ended; those also replace the class's factor for the job; inherited tasks teach nothing.

--- a/src/placement/books.rs
+++ b/src/placement/books.rs
@@ -183,6 +183,7 @@
                     kill: over.then_some(0.0),
                     flying: false,
                     started: None,
+                    inherited: true,
                     page: Some(no),
                     ahead: None,
                 },
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -97,6 +97,8 @@
     kill: Option<f64>,
     flying: bool,
     started: Option<Time>,
+    /// Started under an earlier holder: how long it has run is unknown.
+    inherited: bool,
     /// The page that names it, once committed.
     page: Option<PageNo>,
     /// Placed before there was room, and when: it runs as soon as something
@@ -207,6 +209,8 @@
     /// Tasks with an entry or a ghost somewhere, and how many.
     live: BTreeMap<u32, u32>,
     errors: u32,
+    /// Run times over the estimate: the sum of logarithms, and how many.
+    ratios: (f64, u32),
     error_machines: BTreeSet<MachineId>,
     hold_until: Time,
 }
@@ -312,6 +316,8 @@
     spec: Rc<JobSpec>,
 }
 
+/// Tasks of a job that must have ended before it is judged by them.
+const RATIOS: u32 = 4;
 /// Direct calls to workers that go out together.
 const MOST_STOPS: usize = 16;
 
@@ -467,7 +473,7 @@
                 need: job.need(),
                 left: left.min(most),
                 placed: busy.min(most),
-                run_s: job.spec.expect_s * self.run_factor(&job.spec.class),
+                run_s: self.run_s(job),
                 age_s: age_s(wall, &job.spec),
                 due_s: job.spec.due_s,
                 image_gb: job.spec.image_gb,
@@ -496,7 +502,7 @@
         for (task, e) in &m.entries {
             free -= e.need.cpus;
             let Some(job) = self.jobs.get(&task.job) else { continue };
-            let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+            let run_s = self.run_s(job);
             let ran = e.started.map_or(0.0, |s| now.since(s));
             // What runs longer than expected may go on as long again.
             let left = if ran < run_s { run_s - ran } else { run_s * 0.25 };
@@ -509,6 +515,16 @@
         }
     }
 
+    /// Run time of a job's task as far as known: by its own tasks that ended,
+    /// else by those of its class, else as estimated.
+    fn run_s(&self, job: &Job) -> f64 {
+        let factor = match job.ratios {
+            (sum, n) if n >= RATIOS => (sum / f64::from(n)).exp(),
+            _ => self.run_factor(&job.spec.class),
+        };
+        job.spec.expect_s * factor
+    }
+
     /// How far runs of a class were from their estimates.
     fn run_factor(&self, class: &str) -> f64 {
         self.runs.get(class).copied().unwrap_or(1.0)
@@ -666,6 +682,7 @@
         retry: BTreeMap::new(),
         live: BTreeMap::new(),
         errors: 0,
+        ratios: (0.0, 0),
         error_machines: BTreeSet::new(),
         hold_until: now,
     }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -188,7 +188,7 @@
                 let (State::Seen(Phase::Running), Some(started)) = (e.state, e.started) else {
                     continue;
                 };
-                let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+                let run_s = self.run_s(job);
                 let left = (run_s - now.since(started)).max(0.0);
                 if job.spec.kind == JobKind::Batch && left < horizon {
                     ends.push((left, e.need.cpus));
@@ -289,6 +289,7 @@
                 kill: None,
                 flying: false,
                 started: None,
+                inherited: false,
                 page: None,
                 ahead,
             },
@@ -316,7 +317,7 @@
                 continue;
             }
             let spec = &j.spec;
-            let run_s = spec.expect_s * self.run_factor(&spec.class);
+            let run_s = self.run_s(j);
             let age = age_s(wall, spec);
             let left = spec.due_s.map_or(-age, |d| d - age);
             // A job that can no longer make its deadline lets those pass that
@@ -432,7 +433,7 @@
             for (task, e) in &m.entries {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
                 let ran = e.started.map_or(0.0, |s| now.since(s));
-                let run_s = job.spec.expect_s * self.run_factor(&job.spec.class);
+                let run_s = self.run_s(job);
                 if e.kill.is_some() {
                     lacking -= e.need.cpus;
                 } else if matches!(e.state, State::Seen(_)) && job.spec.urgency >= top {
--- a/src/placement/reports.rs
+++ b/src/placement/reports.rs
@@ -201,20 +201,29 @@
         }
     }
 
-    /// Run times correct the estimates of a class, and tell slow machines.
+    /// Run times correct the estimates of a class and a job, and tell slow
+    /// machines: those that take long for a job whose tasks elsewhere do not.
+    /// By the class alone a job whose owner guessed too low would condemn every
+    /// machine it ran on.
     fn learn_run(&mut self, now: Time, id: MachineId, task: TaskId) {
-        let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else { return };
-        let started = self.entry(id, task).and_then(|e| e.started);
-        let Some(ran) = started.map(|s| now.since(s) + self.report_s * 0.25) else { return };
-        if spec.expect_s < 1.0 || ran < self.report_s {
+        let Some(e) = self.entry(id, task).filter(|e| !e.inherited) else { return };
+        let Some(ran) = e.started.map(|s| now.since(s) + self.report_s * 0.25) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let expect_s = job.spec.expect_s;
+        if expect_s < 1.0 || ran < self.report_s {
             return;
         }
-        let ratio = (ran / spec.expect_s).clamp(0.1, 10.0);
-        let factor = self.runs.entry(spec.class.clone()).or_insert(1.0);
-        let relative = ratio / *factor;
+        let ratio = (ran / expect_s).clamp(0.1, 10.0);
+        let (sum, n) = job.ratios;
+        job.ratios = (sum + ratio.ln(), n + 1);
+        let factor = self.runs.entry(job.spec.class.clone()).or_insert(1.0);
         // Geometric, since estimates are off by factors; slowly, since one job
         // brings many tasks that share its error.
-        *factor = (*factor * relative.powf(0.03)).clamp(0.2, 5.0);
+        *factor = (*factor * (ratio / *factor).powf(0.03)).clamp(0.2, 5.0);
+        if n < RATIOS {
+            return;
+        }
+        let relative = ratio / (sum / f64::from(n)).exp();
         if let Some(m) = self.machines.get_mut(&id) {
             m.pace.0 *= (relative / m.pace.0).powf(0.4);
             m.pace.1 += 1;
