A successor's word ends a cut holder's term; users told to come back reconnect

Change: the holder tells its peers its token each second and at once on taking; who hears a higher one stops, and names the new holder to workers. A 503 to a user closes the connection.

--- a/src/net.rs
+++ b/src/net.rs
@@ -541,12 +541,15 @@
         if conn.generation != to.generation {
             return;
         }
-        let Kind::Public { waiting, close, .. } = &mut conn.kind else { return };
+        let Kind::Public { waiting, close, worker, .. } = &mut conn.kind else { return };
         if !*waiting {
             return;
         }
         *waiting = false;
         conn.active = now;
+        // The load balancer never moves an open connection: a user told to come
+        // back does better with a new one, perhaps to a node that can answer.
+        *close |= status == 503 && !*worker;
         let closing = *close;
         http::write_response(&mut conn.outbuf, status, retry_after, closing, body);
         let more = !conn.inbuf.is_empty();
--- a/src/node.rs
+++ b/src/node.rs
@@ -235,7 +235,7 @@
             // A holder out of touch names nobody: it may still be the holder.
             (Some(_), false) => refuse(out, id, 503, "out of touch with the state service"),
             (None, _) => {
-                let foreman = self.leader.other_leader();
+                let foreman = self.peers.holder(now).or(self.leader.other_leader());
                 out.push(Out::Answer {
                     to: id,
                     status: 421,
@@ -330,6 +330,7 @@
                 self.fleet.begin_term(now, token, &self.operator);
                 self.ledger.set_share(holder_share(&self.settings));
                 self.nudged.clear();
+                self.peers.sent = Time::default();
                 self.book.want_refresh();
             }
         }
@@ -348,6 +349,14 @@
                     })
                     .collect();
             }
+            Frame::Holds { label, token } => {
+                self.peers.holds(now, &label, Token(token));
+                // Guard 1: a higher token was taken, so ours is over.
+                if self.leader.token().is_some_and(|t| token > t.0) {
+                    let standing = self.leader.deposed(now);
+                    self.on_standing(now, standing);
+                }
+            }
         }
     }
 
@@ -363,6 +372,7 @@
                 holder: self.place.is_some(),
             };
             out.push(Out::Tell { frame: peers::encode(&pulse) });
+            self.tell_token(out);
             if let Some(place) = self.place.as_ref().filter(|p| p.loaded()) {
                 out.push(Out::Tell { frame: peers::encode(&peers::progress(place.all_counts())) });
             }
@@ -372,6 +382,15 @@
         self.run(now, wall, out);
     }
 
+    /// A holder cut off from the state service alone would answer its workers
+    /// for seconds more; its successor's word ends that.
+    fn tell_token(&self, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        let label = self.settings.label.clone();
+        let holds = Frame::Holds { label, token: place.token().0 };
+        out.push(Out::Tell { frame: peers::encode(&holds) });
+    }
+
     /// A leader that cannot hear most of its workers would watch their leases
     /// run out. If it is the one cut off, another controller hears them.
     fn consider_stepping_back(&mut self, now: Time) {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -1,11 +1,12 @@
 //! What controllers tell each other: `postcard` frames behind a length.
 //!
-//! Nothing here carries a rule. Progress is for display, and the age of the
+//! Nothing here carries a rule: a holder that hears of a higher token stops a
+//! little sooner than its workers would have made it. Progress is for display, and the age of the
 //! last exchange with the state service lets a node that alone is cut off from
 //! it step out of the users' way.
 
 use crate::placement::Counts;
-use crate::types::{JobId, Time};
+use crate::types::{JobId, Time, Token};
 use serde::{Deserialize, Serialize};
 
 /// Longest frame taken from a peer; guards memory.
@@ -17,6 +18,8 @@
     Pulse { label: String, ledger_age_ms: u64, holder: bool },
     /// From the holder: jobs with tasks done or running.
     Progress(Vec<(String, u32, u32)>),
+    /// From the holder: its token. Nobody with a lower one is entitled.
+    Holds { label: String, token: u64 },
 }
 
 pub fn encode(frame: &Frame) -> Vec<u8> {
@@ -50,6 +53,8 @@
 pub struct Peers {
     heard: Vec<(String, Time, f64)>,
     pub sent: Time,
+    /// Who last said that it holds the block, with which token, and when.
+    holder: Option<(String, Token, Time)>,
 }
 
 impl Peers {
@@ -58,6 +63,19 @@
         self.heard.push((label.to_string(), now, ledger_age_s));
     }
 
+    pub fn holds(&mut self, now: Time, label: &str, token: Token) {
+        if self.holder.as_ref().is_none_or(|(_, t, _)| *t <= token) {
+            self.holder = Some((label.to_string(), token, now));
+        }
+    }
+
+    /// The holder by its own word, for a node that cannot read it in the state
+    /// service; a word that was not repeated has lapsed.
+    pub fn holder(&self, now: Time) -> Option<&str> {
+        let lately = self.holder.as_ref().filter(|(_, _, at)| now.since(*at) < 3.0);
+        lately.map(|(label, _, _)| label.as_str())
+    }
+
     /// Some peer reaches the state service though we may not.
     pub fn others_reach_ledger(&self, now: Time) -> bool {
         self.heard.iter().any(|(_, at, age)| now.since(*at) < 4.0 && *age < 3.0)
