Idle spot machines go after 20 s

Change: the default of [fleet] idle_s goes from 40 to 20 s; a machine still stays for what is charged anyway.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -129,7 +129,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { idle_s: 40.0, update_s: 15.0, seed: 0, block_lease_s: 60.0 }
+        Operator { idle_s: 20.0, update_s: 15.0, seed: 0, block_lease_s: 60.0 }
     }
 }
 
