Scans of the whole fleet leave the path of every report

Silence, machines to return and connection timeouts were looked over after each report or each 25 ms, 1,000 machines and 2,500 tasks each time.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -187,6 +187,8 @@
     released: BTreeMap<MachineId, Time>,
     retry_at: Time,
     decided: Time,
+    /// When machines to return were last looked for.
+    returned: Time,
     owned: Option<Vec<MachineId>>,
     /// Rented lately by us: kept in the record until every list shows them.
     lately: Vec<(Time, RentalRow)>,
@@ -249,6 +251,7 @@
             released: BTreeMap::new(),
             retry_at: Time::default(),
             decided: Time::default(),
+            returned: Time::default(),
             owned: None,
             lately: Vec::new(),
             inherited: Vec::new(),
@@ -316,11 +319,11 @@
             self.queue.push_back(CloudCall::Rent(r.row.name.clone()));
         }
         let mut batch = Vec::new();
-        for (id, i) in &mut term.instances {
-            if i.release == Release::Wanted
-                && batch.len() < MOST_PER_RELEASE
-                && now >= term.retry_at
-            {
+        // Not after every report: that would cost the whole fleet each time.
+        if now.since(term.returned) >= 0.1 && now >= term.retry_at {
+            term.returned = now;
+            let wanted = term.instances.iter_mut().filter(|(_, i)| i.release == Release::Wanted);
+            for (id, i) in wanted.take(MOST_PER_RELEASE) {
                 i.release = Release::Flying;
                 batch.push(*id);
             }
--- a/src/market.rs
+++ b/src/market.rs
@@ -337,7 +337,7 @@
             // class that may not wait has all its places at once.
             let turns = match wait {
                 Some(_) => 1.0,
-                None => split::rounds(window - fetch - s.boot_s * 0.5, d.run_s * 1.2),
+                None => split::rounds(window - fetch - s.boot_s * 0.5, d.run_s),
             };
             let places = (left / turns).ceil().max(f64::from(d.placed).min(left));
             want.pool += places / fit_f;
--- a/src/net.rs
+++ b/src/net.rs
@@ -20,6 +20,8 @@
 /// Answers of the state service may be large; beyond this we give up on one.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 const TICK_S: f64 = 0.025;
+/// How often connections are looked over for timeouts.
+const TIDY_S: f64 = 0.1;
 const PARTIAL_S: f64 = 10.0;
 const IDLE_S: f64 = 75.0;
 /// Idle time after which a user's connection may be closed for another's.
@@ -71,6 +73,7 @@
     failed: VecDeque<CallId>,
     peer_retry: Vec<Time>,
     ticked: Time,
+    tidied: Time,
 }
 
 fn listen(addr: SocketAddrV4) -> Result<TcpListener, NetError> {
@@ -127,6 +130,7 @@
             failed: VecDeque::new(),
             peer_retry: vec![Time::default(); members],
             ticked: Time::default(),
+            tidied: Time::default(),
         };
         net.conns.reserve(64);
         Ok(net)
@@ -151,8 +155,11 @@
             let now = self.now();
             if now.since(self.ticked) >= TICK_S {
                 self.ticked = now;
-                self.expire(now);
-                self.link_peers(now);
+                if now.since(self.tidied) >= TIDY_S {
+                    self.tidied = now;
+                    self.expire(now);
+                    self.link_peers(now);
+                }
                 let mut out = Vec::new();
                 self.node.on_tick(now, wall(), &mut out);
                 self.act(out);
--- a/src/node.rs
+++ b/src/node.rs
@@ -101,6 +101,7 @@
     nudges: BTreeMap<CallId, MachineId>,
     started: Time,
     stepped_back: Option<Time>,
+    looked: Time,
 }
 
 impl Node {
@@ -120,6 +121,7 @@
             nudges: BTreeMap::new(),
             started: now,
             stepped_back: None,
+            looked: Time::default(),
             settings,
             operator,
         }
@@ -377,7 +379,10 @@
                 out.push(Out::Tell { frame: peers::encode(&peers::progress(place.all_counts())) });
             }
         }
-        self.consider_stepping_back(now);
+        if now.since(self.looked) >= 0.5 {
+            self.looked = now;
+            self.consider_stepping_back(now);
+        }
         self.nudge(now, out);
         self.run(now, wall, out);
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -316,6 +316,8 @@
     spec: Rc<JobSpec>,
 }
 
+/// How often machines are looked over for silence.
+const SILENCE_S: f64 = 0.2;
 /// Tasks of a job that must have ended before it is judged by them.
 const RATIOS: u32 = 4;
 /// Direct calls to workers that go out together.
@@ -350,6 +352,7 @@
     flying: Option<Flying>,
     retry_at: Time,
     planned_at: Time,
+    silence_at: Time,
     replan: bool,
     next_attempt: u64,
     teams: Vec<(f64, f64, f64, f64)>,
@@ -390,6 +393,7 @@
             flying: None,
             retry_at: Time::default(),
             planned_at: Time::default(),
+            silence_at: Time::default(),
             replan: true,
             next_attempt: token.0 << 20,
             runs: BTreeMap::new(),
@@ -647,7 +651,12 @@
             return;
         }
         self.drive_load(now, ledger);
-        self.check_silence(now);
+        // Silence is a matter of seconds: looking after every report would cost
+        // the whole fleet each time.
+        if now.since(self.silence_at) >= SILENCE_S {
+            self.silence_at = now;
+            self.check_silence(now);
+        }
         if now.since(self.planned_at) >= 0.05
             && (self.replan || now.since(self.planned_at) > 1.0)
             && may_place
