Borrowed room is given back to work within a team's guarantee

Guarantees only ordered jobs of one urgency; the protocol lets borrowed room be taken back whatever the priority. Now a job that fits its team's guarantee together with the team's earlier unfinished jobs goes first while its aim can be met (without a stated aim: two reports' time), and tasks that have hardly begun (15% of their run), of teams above their guarantee, are stopped for it; its own are placed ahead there.

--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -34,8 +34,9 @@
 /// A waiting job's place in the order.
 struct Waiting {
     id: JobId,
-    /// Urgency, what can no longer be in time, borrowed room: lowest first.
-    rank: (u8, u8, bool),
+    /// What its team's guarantee still lets start at once, urgency, what can no
+    /// longer be in time, borrowed room: lowest first.
+    rank: (bool, u8, u8, bool),
     left: f64,
     /// So late that it may not wait for a machine that has its image.
     pressing: bool,
@@ -52,6 +53,9 @@
     Any,
 }
 
+/// Part of its run time up to which a task counts as hardly begun.
+const YOUNG: f64 = 0.15;
+
 /// Part of the time to its aim that a job leaves to others' images.
 const PATIENT: f64 = 0.7;
 
@@ -59,7 +63,8 @@
     pub(super) fn plan(&mut self, now: Time, wall: WallMs, settings: &Settings, shapes: &[Shape]) {
         self.settle_ahead(now, shapes);
         let mut round = self.round(now, settings, shapes);
-        let order = self.order(now, wall, &round);
+        let guaranteed = self.guaranteed();
+        let order = self.order(now, wall, &round, &guaranteed);
         let mut pressed: Vec<Pressed> = Vec::new();
         for group in order.chunk_by(|a, b| a.rank == b.rank) {
             for pass in [Pass::Pressing, Pass::WithImage, Pass::Any] {
@@ -71,13 +76,16 @@
                 }
             }
             for w in group {
+                if !w.rank.0 {
+                    self.reclaim(now, &mut round, w.id, &guaranteed);
+                }
                 // What may not wait makes room for itself instead.
                 if w.wait_s.is_none() {
                     self.fill_ahead(now, &mut round, w.id, w.pressing);
                 }
                 let Some(job) = self.jobs.get(&w.id) else { continue };
                 let waiting = job.waiting();
-                if let (Some(within), true) = (w.wait_s, waiting > 0 && w.rank.1 < 2) {
+                if let (Some(within), true) = (w.wait_s, waiting > 0 && w.rank.2 < 2) {
                     pressed.push(Pressed {
                         urgency: job.spec.urgency,
                         cpus: f64::from(waiting) * job.spec.cpus,
@@ -309,8 +317,125 @@
         true
     }
 
+    /// Jobs that fit into their team's guarantee together with its earlier
+    /// unfinished jobs: they need not wait for other teams.
+    fn guaranteed(&self) -> BTreeSet<JobId> {
+        let open = |j: &Job| j.state == JobState::Open && !j.complete();
+        let mut by_age: Vec<(u64, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| open(j))
+            .map(|(id, j)| (j.spec.submitted, *id))
+            .collect();
+        by_age.sort();
+        let mut used = vec![(0.0, 0.0); self.teams.len()];
+        let mut within = BTreeSet::new();
+        for (_, id) in by_age {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(t) = self.team_names.iter().position(|n| *n == job.spec.team) else {
+                continue;
+            };
+            let left = f64::from(job.spec.tasks.saturating_sub(job.progress.count()));
+            used[t].0 += left * job.spec.cpus;
+            used[t].1 += left * job.spec.gpus;
+            let (cpus, _, gpus, _) = self.teams[t];
+            let fits = (cpus > 0.0 || gpus > 0.0)
+                && used[t].0 <= cpus + EPSILON
+                && (job.spec.gpus == 0.0 || used[t].1 <= gpus + EPSILON);
+            if fits {
+                within.insert(id);
+            }
+        }
+        within
+    }
+
+    /// Takes room back for a job within its team's guarantee: tasks that have
+    /// hardly begun, of teams that use more than theirs, make room, and the
+    /// job's tasks are placed ahead where they were.
+    fn reclaim(&mut self, now: Time, round: &mut Round, id: JobId, guaranteed: &BTreeSet<JobId>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.waiting() > 0) else { return };
+        let (spec, need) = (job.spec.clone(), job.need());
+        if spec.one_zone || spec.spread {
+            return;
+        }
+        let own = round.settings.team(&spec.team);
+        let over: Vec<f64> = (0..self.teams.len())
+            .map(|t| round.team_used[t].0 - self.teams[t].0)
+            .map(|over| over.max(0.0))
+            .collect();
+        let mut offers: Vec<(bool, f64, MachineId, Vec<TaskId>)> = Vec::new();
+        for (machine, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
+            let Some(shape) = m.shape.and_then(|s| round.shapes.get(s)) else { continue };
+            let allowed = spec.shapes.as_ref().is_none_or(|l| l.contains(&shape.label))
+                && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+                && (spec.spot || !m.spot);
+            // One at a time: what was stopped here has yet to end.
+            if !allowed || m.entries.values().any(|e| e.kill.is_some()) {
+                continue;
+            }
+            let mut young: Vec<(f64, TaskId, Need)> = Vec::new();
+            for (task, e) in &m.entries {
+                let Some(j) = self.jobs.get(&task.job) else { continue };
+                let borrowed = e.team != own && e.team.is_some_and(|t| over[t] >= e.need.cpus);
+                let ran = e.started.map_or(0.0, |s| now.since(s));
+                let begun = matches!(e.state, State::Seen(_)) && !e.inherited;
+                if borrowed
+                    && begun
+                    && !guaranteed.contains(&task.job)
+                    && ran < self.run_s(j) * YOUNG
+                {
+                    young.push((ran, *task, e.need));
+                }
+            }
+            young.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut free = m.free(round.shapes, &self.jobs);
+            let (mut cost, mut victims) = (0.0, Vec::new());
+            for (ran, task, n) in young {
+                if need.fits(&free) {
+                    break;
+                }
+                free.add(&n);
+                cost += (ran + 1.0) * n.cpus;
+                victims.push(task);
+            }
+            if !victims.is_empty() && need.fits(&free) {
+                offers.push((!m.images.contains(&spec.image), cost, *machine, victims));
+            }
+        }
+        offers.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, machine, victims) in offers {
+            if !self.put(now, round, machine, id, Some(now)) {
+                break;
+            }
+            // What was placed ahead by others has not begun: it goes elsewhere.
+            let aside: Vec<TaskId> = match self.machines.get(&machine) {
+                Some(m) => {
+                    let ahead = m.entries.iter().filter(|(_, e)| e.ahead.is_some());
+                    ahead.map(|(t, _)| *t).filter(|t| !guaranteed.contains(&t.job)).collect()
+                }
+                None => continue,
+            };
+            for task in aside {
+                self.end(now, machine, task, false, 0.0);
+            }
+            for task in victims {
+                log::info!("{task} on {machine} gives back borrowed room to {id}");
+                if let Some(e) = self.entry(machine, task) {
+                    e.kill = Some(0.0);
+                }
+            }
+            self.stops.insert(machine);
+        }
+    }
+
     /// The waiting jobs, in the order in which they get room.
-    fn order(&self, now: Time, wall: WallMs, round: &Round) -> Vec<Waiting> {
+    fn order(
+        &self,
+        now: Time,
+        wall: WallMs,
+        round: &Round,
+        guaranteed: &BTreeSet<JobId>,
+    ) -> Vec<Waiting> {
         let mut order = Vec::new();
         for (id, j) in &self.jobs {
             if j.state != JobState::Open || j.hold_until > now || j.waiting() == 0 {
@@ -341,10 +466,12 @@
             // Likewise what can still start within its class's aim goes before
             // what has already waited longer.
             let late = if late { 2 } else { u8::from(wait_s.is_some_and(|w| age > w)) };
-            let over = round.settings.team(&spec.team).is_some_and(|t| {
-                self.teams[t].0 > 0.0 && round.team_used[t].0 + spec.cpus > self.teams[t].0
-            });
-            let rank = (u8::MAX - spec.urgency as u8, late, over);
+            // Once the aim on guaranteed work is missed, it waits its turn: what
+            // is stopped for it later costs others and meets no aim.
+            let within = guaranteed.contains(id);
+            let bound = round.settings.aim("guarantee", "").unwrap_or(self.horizon_s());
+            let prompt = within && age <= bound;
+            let rank = (!prompt, u8::MAX - spec.urgency as u8, late, !within);
             order.push(Waiting { id: *id, rank, left, pressing, wait_s });
         }
         order.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.left.total_cmp(&b.left)));
@@ -441,7 +568,7 @@
                     if run_s - ran < soonest {
                         lacking -= e.need.cpus;
                     }
-                } else if matches!(e.state, State::Seen(_)) && fits && ran < run_s * 0.15 {
+                } else if matches!(e.state, State::Seen(_)) && fits && ran < run_s * YOUNG {
                     let kept = if job.spec.checkpoint_s > 0.0 { 0.1 } else { 1.0 };
                     victims.push((ran * kept, *id, *task, e.need.cpus, job.spec.save_s));
                 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,7 +6,7 @@
 
 mod sim;
 
-use beamhinge::settings::Settings;
+use beamhinge::settings::{Settings, Team};
 use libtest_mimic::{Arguments, Failed, Trial};
 use serde_json::json;
 use sim::cloud::Kind;
@@ -179,10 +179,18 @@
     let get = |name: &str, default: f64| -> f64 {
         setting(name).and_then(|w| w.get(1)?.parse().ok()).unwrap_or(default)
     };
-    let mut sim = Sim::new(
-        settings(get("nodes", 3.0) as usize, get("team-max", 32.0)),
-        get("seed", 1.0) as u64,
-    );
+    let mut settings = settings(get("nodes", 3.0) as usize, get("team-max", 32.0));
+    if let Some(words) = setting("teams") {
+        // teams HOW-MANY guarantee=CPUS max=CPUS: t1, t2 and so on
+        let count = words.get(1).and_then(|n| n.parse().ok()).unwrap_or(1usize);
+        let (cpus, cpus_max) = (number(words, "guarantee", 0.0)?, number(words, "max", 0.0)?);
+        for s in &mut settings {
+            let team = s.params.teams[0].clone();
+            let make = |i| Team { name: format!("t{i}"), cpus, cpus_max, ..team.clone() };
+            s.params.teams = (1..=count).map(make).collect();
+        }
+    }
+    let mut sim = Sim::new(settings, get("seed", 1.0) as u64);
     let (zones, mut end) = (["north", "south"], 60 * SECOND);
     sim.cloud.zones = zones.iter().map(|z| z.to_string()).collect();
     let kind = |label: &str, cpus, rate, low| Kind {
@@ -198,7 +206,7 @@
         for (shape, spot, n) in [
             ("c8", true, get("spot", 4.0)),
             ("c8", false, get("ordinary", 2.0)),
-            ("c32", true, 1.0),
+            ("c32", true, get("large", 1.0)),
         ] {
             sim.cloud.capacity.insert((shape.into(), zone.into(), spot), n as u32);
         }
@@ -226,7 +234,7 @@
                 other => return Err(format!("unknown double '{other}'").into()),
             },
             "plant" => sim.state.plant(w[1], json!({"v": 999})),
-            "nodes" | "seed" | "team-max" | "spot" | "ordinary" | "owned" => {}
+            "nodes" | "seed" | "team-max" | "teams" | "spot" | "ordinary" | "large" | "owned" => {}
             other => return Err(format!("unknown line '{other}'").into()),
         }
     }
@@ -264,6 +272,8 @@
             "machines-left-at-most" => sim.cloud.hosts.len() <= arg(1).parse().unwrap_or(0),
             "starts-at-most" => sim.started <= arg(1).parse().unwrap_or(0),
             "starts-at-least" => sim.started >= arg(1).parse().unwrap_or(u64::MAX),
+            // Changes of the state service: work counted, not time.
+            "writes-at-most" => sim.state.writes <= arg(1).parse().unwrap_or(0),
             "progress-keys" => sim.state.keys_under("d/") == arg(1).parse::<usize>().unwrap_or(0),
             other => return Err(format!("unknown expectation '{other}'").into()),
         };
@@ -285,8 +295,8 @@
     }
     let hosts = sim.cloud.hosts.len();
     wrong.push(format!(
-        "{} tasks started; {hosts} machines left, at most {}",
-        sim.started, sim.cloud.most
+        "{} tasks started; {hosts} machines left, at most {}; {} writes",
+        sim.started, sim.cloud.most, sim.state.writes
     ));
     Err(wrong.join("\n").into())
 }
--- a/tests/sim/state.rs
+++ b/tests/sim/state.rs
@@ -33,6 +33,8 @@
     /// What a client did wrong, for the runner to fail on.
     pub abused: Vec<String>,
     pub refused: u64,
+    /// Puts and deletes that were applied.
+    pub writes: u64,
     pub keep_changes: usize,
 }
 
@@ -62,6 +64,7 @@
             txn_ops,
             abused: Vec::new(),
             refused: 0,
+            writes: 0,
             keep_changes: 10_000,
         }
     }
@@ -297,6 +300,7 @@
         if !then.is_empty() {
             self.rev += 1;
         }
+        self.writes += then.len() as u64;
         for t in then {
             if let Some(key) = t["write"].as_str() {
                 let value = t["value"].clone();
