--- /dev/null
+++ b/src/fleet/wanted.rs
@@ -0,0 +1,252 @@
+//! Which machines are wanted, and the difference to those there are.
+
+use super::*;
+use crate::market::{Pool, Want};
+use crate::split::{Class, Market};
+
+impl Term {
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn decide(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        lag_s: f64,
+        shapes: &[Shape],
+        operator: &Operator,
+        settings: &Settings,
+        place: &mut Placement,
+    ) {
+        let demands = place.demands(wall);
+        // Count what there is and what is on its way.
+        let mut have: BTreeMap<Class, u32> = BTreeMap::new();
+        let mut up: BTreeMap<Class, u32> = BTreeMap::new();
+        let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
+        let (mut owned_cpus, mut idle_owned) = (0.0, 0.0);
+        for (id, i) in &self.instances {
+            let m = place.machine(*id);
+            let leaving = i.release != Release::No
+                || i.status == Status::Failed
+                || m.is_some_and(|m| m.reclaim || m.sick || m.slow);
+            if leaving {
+                continue;
+            }
+            let class = Class { shape: i.shape, spot: i.spot };
+            *have.entry(class).or_default() += 1;
+            let pool = pools.entry(i.shape).or_default();
+            if m.is_some_and(|m| m.heard.is_some()) {
+                *up.entry(class).or_default() += 1;
+                place.room_over_time(now, *id, shapes, pool);
+            } else if let Some(s) = shapes.get(i.shape) {
+                pool.push(((s.boot_s * 1.2 - now.since(i.rented)).max(s.boot_s * 0.2), s.cpus));
+            }
+            if i.owned {
+                let cpus = shapes.get(i.shape).map_or(0.0, |s| s.cpus);
+                owned_cpus += cpus;
+                if m.is_some_and(|m| m.is_empty()) {
+                    idle_owned += cpus;
+                }
+            }
+        }
+        for r in &self.rentals {
+            *have.entry(Class { shape: r.shape, spot: r.row.spot }).or_default() += r.row.count;
+            if let Some(s) = shapes.get(r.shape) {
+                let pool = pools.entry(r.shape).or_default();
+                pool.extend((0..r.row.count).map(|_| (s.boot_s * 1.2, s.cpus)));
+            }
+        }
+        // After a takeover the list may not yet show what was rented before
+        // us: what was recorded counts as there until it must show.
+        let lag = lag_s * 2.0 + 2.0;
+        if now.since(self.began) > lag {
+            self.inherited.clear();
+        }
+        for row in &self.inherited {
+            if let Some(shape) = shapes.iter().position(|s| s.label == row.shape) {
+                *have.entry(Class { shape, spot: row.spot }).or_default() += row.count;
+            }
+        }
+        self.lately.retain(|(at, _)| now.since(*at) < lag);
+        self.refused.retain(|_, until| *until > now);
+        let wants = self.splits.wants(now, &demands, shapes, settings, owned_cpus, &pools);
+        let mut wanted: BTreeMap<Class, u32> = BTreeMap::new();
+        let (mut spot_wanted, mut spot_up) = (0.0, 0.0);
+        let (mut price, mut heaviest) = (1.0, 0.0);
+        for (shape, s) in shapes.iter().enumerate() {
+            let want = wants.get(&shape).copied().unwrap_or_default();
+            let count = |c: &BTreeMap<Class, u32>, spot| {
+                f64::from(c.get(&Class { shape, spot }).copied().unwrap_or(0))
+            };
+            let (spot, ordinary) = machines_wanted(
+                &want,
+                count(&have, true),
+                count(&have, false),
+                s.zones.iter().all(|z| self.refused.contains_key(&(shape, z.clone(), true))),
+            );
+            wanted.insert(Class { shape, spot: true }, spot);
+            wanted.insert(Class { shape, spot: false }, ordinary);
+            let weight = want.pool * s.low_price;
+            spot_wanted += want.pool;
+            spot_up += count(&up, true).min(want.pool);
+            if weight > heaviest && s.rate > 0.0 {
+                heaviest = weight;
+                price = s.low_price / s.rate;
+            }
+        }
+        if spot_wanted > 0.0 {
+            self.splits.observe(now, Market { price, up: spot_up / spot_wanted, idle_owned });
+        }
+        if self.lists > 0 {
+            for (class, want) in &wanted {
+                let have = have.get(class).copied().unwrap_or(0);
+                if *want > have {
+                    self.rent(now, *class, want - have, shapes, settings);
+                }
+            }
+        }
+        self.give_back(now, &wanted, &have, operator, place);
+    }
+
+    fn rent(&mut self, now: Time, class: Class, count: u32, shapes: &[Shape], settings: &Settings) {
+        let Some(shape) = shapes.get(class.shape) else { return };
+        if self.rentals.iter().any(|r| r.shape == class.shape && r.row.spot == class.spot) {
+            return;
+        }
+        let open: Vec<&String> = shape
+            .zones
+            .iter()
+            .filter(|z| settings.params.zones.is_empty() || settings.params.zones.contains(z))
+            .filter(|z| !self.refused.contains_key(&(class.shape, (*z).clone(), class.spot)))
+            .collect();
+        if open.is_empty() {
+            return;
+        }
+        // Spread over the zones, the emptier first.
+        let mut counts: Vec<(u32, &String, u32)> = open
+            .iter()
+            .map(|z| {
+                let n = self
+                    .instances
+                    .values()
+                    .filter(|i| i.shape == class.shape && i.zone == **z)
+                    .count();
+                (n as u32, *z, 0)
+            })
+            .collect();
+        for _ in 0..count.min(MOST_PER_RENTAL) {
+            counts.sort_by_key(|(n, z, _)| (*n, (*z).clone()));
+            if let Some(c) = counts.first_mut() {
+                c.0 += 1;
+                c.2 += 1;
+            }
+        }
+        for (_, zone, n) in counts {
+            if n == 0 {
+                continue;
+            }
+            self.next_rental += 1;
+            self.rentals.push(Rental {
+                row: RentalRow {
+                    name: format!("r-{}-{}", self.token.0, self.next_rental),
+                    shape: shape.label.clone(),
+                    zone: zone.clone(),
+                    spot: class.spot,
+                    count: n,
+                },
+                shape: class.shape,
+                recorded: false,
+                flying: false,
+                tried: false,
+                retry_at: now,
+            });
+        }
+    }
+
+    fn give_back(
+        &mut self,
+        now: Time,
+        wanted: &BTreeMap<Class, u32>,
+        have: &BTreeMap<Class, u32>,
+        operator: &Operator,
+        place: &mut Placement,
+    ) {
+        let mut over: BTreeMap<Class, u32> = BTreeMap::new();
+        for (class, n) in have {
+            let want = wanted.get(class).copied().unwrap_or(0);
+            if *n > want {
+                over.insert(*class, n - want);
+            }
+        }
+        let mut out = Vec::new();
+        for (id, i) in &mut self.instances {
+            let Some(m) = place.machine(*id) else { continue };
+            if i.release != Release::No || !m.is_empty() {
+                continue;
+            }
+            let class = Class { shape: i.shape, spot: i.spot };
+            let why = if m.slow {
+                "slow"
+            } else {
+                let Some(n) = over.get_mut(&class).filter(|n| **n > 0) else { continue };
+                // A rented machine stays at least as long as it is charged for
+                // anyway, and spot machines a while longer; dear ones do not.
+                let stay = if i.owned { operator.idle_s } else { ORDINARY_IDLE_S };
+                let fresh = !i.owned && now.since(i.rented) < MIN_CHARGE_S - 3.0;
+                let idle = if i.spot { operator.idle_s.max(stay) } else { stay };
+                if fresh || now.since(m.idle_since) < idle || now.since(self.began) < idle {
+                    continue;
+                }
+                *n -= 1;
+                "idle"
+            };
+            log::info!("returning {id}: {why}");
+            i.release = Release::Wanted;
+            out.push(*id);
+        }
+        for id in out {
+            place.drain(id);
+        }
+    }
+}
+
+/// Spot and ordinary machines to have of one type.
+///
+/// What must be had, and is not on its way, is bought ordinary only where spot
+/// is refused. Ordinary machines that are there take part of the work.
+fn machines_wanted(want: &Want, have_spot: f64, have_ordinary: f64, refused: bool) -> (u32, u32) {
+    let up = |x: f64| (x - 1e-6).ceil().max(0.0);
+    let bound = up(want.ordinary);
+    let spare = (have_ordinary - bound).max(0.0);
+    if refused && want.short > 0.0 {
+        return (up(want.pool + want.ready) as u32, (bound + spare + up(want.short)) as u32);
+    }
+    if refused && up(want.timely) > have_spot + spare {
+        return (up(want.pool + want.ready) as u32, (bound + up(want.timely) - have_spot) as u32);
+    }
+    // Ordinary machines stay as long as spot ones do not reach.
+    let pool = up(want.pool + want.ready);
+    let keep = (up(want.pool) - have_spot).clamp(0.0, spare);
+    ((pool - keep) as u32, (bound + keep) as u32)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn want(pool: f64, ready: f64, short: f64, ordinary: f64) -> Want {
+        Want { pool, timely: 0.0, ready, short, ordinary }
+    }
+
+    #[test]
+    fn ordinary_machines_are_bought_only_where_spot_is_refused() {
+        assert_eq!(machines_wanted(&want(6.5, 0.0, 2.5, 0.0), 0.0, 0.0, false), (7, 0));
+        assert_eq!(machines_wanted(&want(6.5, 0.0, 2.5, 0.0), 2.0, 0.0, true), (7, 3));
+        assert_eq!(machines_wanted(&want(6.5, 0.0, 0.0, 0.0), 2.0, 0.0, true), (7, 0));
+    }
+
+    #[test]
+    fn ordinary_machines_that_are_there_take_part_of_the_work() {
+        assert_eq!(machines_wanted(&want(4.0, 0.0, 0.0, 1.0), 0.0, 3.0, false), (2, 3));
+        assert_eq!(machines_wanted(&want(0.0, 0.0, 0.0, 0.0), 3.0, 3.0, false), (0, 0));
+        assert_eq!(machines_wanted(&want(4.0, 1.0, 0.0, 0.0), 4.0, 1.0, false), (5, 0));
+    }
+}
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -59,6 +59,13 @@
 /// Part of the time to its aim that a job leaves to others' images.
 const PATIENT: f64 = 0.7;
 
+/// Whether a job may use this machine at all.
+fn allows(spec: &JobSpec, shape: &Shape, m: &Machine) -> bool {
+    spec.shapes.as_ref().is_none_or(|s| s.contains(&shape.label))
+        && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+        && (spec.spot || !m.spot)
+}
+
 impl Placement {
     pub(super) fn plan(&mut self, now: Time, wall: WallMs, settings: &Settings, shapes: &[Shape]) {
         self.settle_ahead(now, shapes);
@@ -229,10 +236,7 @@
             // A fetch that takes longer than the wait for a report saves nothing.
             let image = m.images.contains(&spec.image);
             let quick = spec.image_gb < self.report_s * shape.fetch_gb_per_s;
-            let allowed = (image || quick || pressing)
-                && spec.shapes.as_ref().is_none_or(|l| l.contains(&shape.label))
-                && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
-                && (spec.spot || !m.spot);
+            let allowed = (image || quick || pressing) && allows(&spec, shape, m);
             if !allowed || s.ahead.is_some_and(|u| u >= spec.urgency) {
                 continue;
             }
@@ -366,11 +370,8 @@
         let mut offers: Vec<(bool, f64, MachineId, Vec<TaskId>)> = Vec::new();
         for (machine, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
             let Some(shape) = m.shape.and_then(|s| round.shapes.get(s)) else { continue };
-            let allowed = spec.shapes.as_ref().is_none_or(|l| l.contains(&shape.label))
-                && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
-                && (spec.spot || !m.spot);
             // One at a time: what was stopped here has yet to end.
-            if !allowed || m.entries.values().any(|e| e.kill.is_some()) {
+            if !allows(&spec, shape, m) || m.entries.values().any(|e| e.kill.is_some()) {
                 continue;
             }
             let mut young: Vec<(f64, TaskId, Need)> = Vec::new();
@@ -496,13 +497,11 @@
             .filter_map(|(i, r)| {
                 let m = machines.get(&r.id)?;
                 let shape = shapes.get(r.shape)?;
-                let allowed = spec.shapes.as_ref().is_none_or(|s| s.contains(&shape.label))
-                    && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
-                    && (spec.spot || !m.spot);
                 let image = m.images.contains(&spec.image);
                 // Spot machines first among equals, so that dear ones empty.
                 let key = (!m.spot, !image, !r.used, (r.free.cpus * 1000.0) as i64);
-                (allowed && (image || pass != Pass::WithImage)).then_some((i, key))
+                let here = allows(&spec, shape, m) && (image || pass != Pass::WithImage);
+                here.then_some((i, key))
             })
             .collect();
         fits.sort_by(|(a, ka), (b, kb)| {
@@ -543,20 +542,9 @@
         let mut lacking: f64 = pressed.iter().filter(|p| p.urgency == top).map(|p| p.cpus).sum();
         let soonest = pressed.iter().map(|p| p.within_s).fold(f64::INFINITY, f64::min);
         let mut victims: Vec<(f64, MachineId, TaskId, f64, f64)> = Vec::new();
-        for (id, m) in &self.machines {
-            let usable = m.synced && !m.reclaim && !m.draining && !m.sick && !m.slow;
-            if !usable || m.heard.is_none_or(|h| now.since(h) > self.report_s * 2.0 + 1.0) {
-                continue;
-            }
-            let label = m.shape.and_then(|s| shapes.get(s)).map(|s| s.label.as_str());
-            let fits = pressed.iter().any(|p| {
-                (p.spec.spot || !m.spot)
-                    && p.spec.zone.as_ref().is_none_or(|z| *z == m.zone)
-                    && p.spec
-                        .shapes
-                        .as_ref()
-                        .is_none_or(|s| s.iter().any(|l| Some(l.as_str()) == label))
-            });
+        for (id, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
+            let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { continue };
+            let fits = pressed.iter().any(|p| allows(&p.spec, shape, m));
             for (task, e) in &m.entries {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
                 let ran = e.started.map_or(0.0, |s| now.since(s));
