Tasks that give back borrowed room may save first

A stopped task that can save was ended at once; like one that makes room for a class that may not wait it now gets the time it needs to save.

--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -421,8 +421,9 @@
             }
             for task in victims {
                 log::info!("{task} on {machine} gives back borrowed room to {id}");
+                let save_s = self.jobs.get(&task.job).map_or(0.0, |j| j.spec.save_s);
                 if let Some(e) = self.entry(machine, task) {
-                    e.kill = Some(0.0);
+                    e.kill = Some(save_s);
                 }
             }
             self.stops.insert(machine);
