Clean-up: one piece of code where there were two, derived state removed

No change of behaviour. Asking about a job (poll, cancel), stopping a task that makes room, room not yet promised, a chunk's size on a shelf, a job's busy tasks, how long a task has run and a job's team are each in one place. A field of arrivals that nobody read is gone; rows per page follow from the value limit; guaranteed jobs are not looked for where no team has a guarantee.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -330,10 +330,7 @@
         book: &JobBook,
         out: &mut Vec<Out>,
     ) {
-        if self.answered_at_once(to, id, book, out) {
-            return;
-        }
-        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Poll });
+        self.ask(now, to, id, Ask::Poll, book, out);
     }
 
     pub fn cancel(
@@ -344,10 +341,22 @@
         book: &JobBook,
         out: &mut Vec<Out>,
     ) {
-        if self.answered_at_once(to, id, book, out) {
-            return;
+        self.ask(now, to, id, Ask::Cancel, book, out);
+    }
+
+    /// Waits for a copy of the jobs that is newer than the question.
+    fn ask(
+        &mut self,
+        now: Time,
+        to: RequestId,
+        id: JobId,
+        ask: Ask,
+        book: &JobBook,
+        out: &mut Vec<Out>,
+    ) {
+        if !self.answered_at_once(to, id, book, out) {
+            self.waiters.push_back(Waiter { request: to, job: id, since: now, ask });
         }
-        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask: Ask::Cancel });
     }
 
     /// The copy of the jobs was refreshed, or could not be.
--- a/src/market.rs
+++ b/src/market.rs
@@ -86,9 +86,9 @@
 /// Arrivals of a class that may not wait, and the load they make.
 #[derive(Debug, Default)]
 struct Arrivals {
-    /// When a job came, its width, and until when its tasks would run had they
-    /// all started at once.
-    jobs: VecDeque<(Time, f64, Time)>,
+    /// Widths of jobs, and until when their tasks would run had they all started
+    /// at once.
+    jobs: VecDeque<(f64, Time)>,
     /// Load over time: the width of all that would run.
     loads: VecDeque<(Time, f64)>,
     last: Option<Time>,
@@ -102,7 +102,7 @@
             self.gap_s = if self.gap_s > 0.0 { self.gap_s * 0.9 + gap * 0.1 } else { gap };
         }
         self.last = Some(now);
-        self.jobs.push_back((now, width, now.plus(run_s)));
+        self.jobs.push_back((width, now.plus(run_s)));
         if self.jobs.len() > 512 {
             self.jobs.pop_front();
         }
@@ -111,9 +111,9 @@
     /// The widest load of late. Counted by what arrived, not by what is open:
     /// a queue that has built up says nothing of what comes next.
     fn widest(&mut self, now: Time) -> f64 {
-        self.jobs.retain(|(_, _, until)| *until > now);
+        self.jobs.retain(|(_, until)| *until > now);
         if self.loads.back().is_none_or(|(at, _)| now.since(*at) >= 1.0) {
-            self.loads.push_back((now, self.jobs.iter().map(|(_, width, _)| width).sum()));
+            self.loads.push_back((now, self.jobs.iter().map(|(width, _)| width).sum()));
         }
         while self.loads.front().is_some_and(|(at, _)| now.since(*at) > WATCH_S) {
             self.loads.pop_front();
--- a/src/placement/books.rs
+++ b/src/placement/books.rs
@@ -170,8 +170,7 @@
             // Without a description its size is unknown: the machine is full.
             let need =
                 spec.as_ref().map_or(Need { cpus: 1e9, gpus: 0.0, memory_gb: 0.0 }, |s| need_of(s));
-            let team =
-                spec.as_ref().and_then(|s| self.team_names.iter().position(|n| *n == s.team));
+            let team = spec.as_ref().and_then(|s| self.team(s));
             let m = self.machines.entry(row.machine).or_insert_with(|| Machine::new(now));
             m.entries.insert(
                 row.task,
@@ -217,12 +216,7 @@
         let mut txn = Txn::default();
         // Guard 1: whoever lost the block can commit nothing.
         txn.when(BLOCK, Stamp(self.token.0));
-        let mut flying = Flying {
-            pages: Vec::new(),
-            shelved: Shelved::default(),
-            finals: Vec::new(),
-            dead: Vec::new(),
-        };
+        let mut flying = Flying::default();
         // `done` is written only when every task is, and on condition that
         // nobody cancelled the job meanwhile.
         while txn.puts() < (max_puts / 2).max(1) && txn.has_room(4_096) {
@@ -264,7 +258,7 @@
             return false;
         }
         let mut rows: Vec<Row> = Vec::new();
-        while rows.len() < self.rows_per_page && txn.conditions() < max_when {
+        while rows.len() < self.rows_per_page() && txn.conditions() < max_when {
             let Some((machine, task)) = self.plans.pop_front() else { break };
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let stamp = job.stamp;
@@ -319,7 +313,7 @@
         let empty: Vec<usize> = self.shelves.empty().take(room).collect();
         for shelf in empty {
             txn.delete(progress::shelf_key(shelf), self.shelves.stamp(shelf));
-            self.shelves.remove(shelf, &mut flying.shelved);
+            flying.shelved.remove(shelf);
             room -= 1;
         }
         if room > 0 {
@@ -328,7 +322,7 @@
                 self.shelves.outdated(&open).take(room).map(|(k, s)| (k.clone(), s)).collect();
             for (key, stamp) in keys {
                 txn.delete(key.clone(), stamp);
-                self.shelves.clean(key, &mut flying.shelved);
+                flying.shelved.clean(key);
             }
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -140,6 +140,10 @@
     fn may_be_there(&self) -> bool {
         !matches!(self.state, State::Planned | State::Committed)
     }
+    /// How long it has run, as far as we saw.
+    fn ran_s(&self, now: Time) -> f64 {
+        self.started.map_or(0.0, |s| now.since(s))
+    }
 }
 
 impl Machine {
@@ -186,6 +190,14 @@
         }
         free
     }
+    /// Room that is not promised either: without what was planned into it.
+    fn unpromised(&self, shapes: &[Shape], jobs: &BTreeMap<JobId, Job>) -> Need {
+        let mut free = self.free(shapes, jobs);
+        for e in self.entries.values().filter(|e| e.ahead.is_none() && !e.may_be_there()) {
+            free.sub(&e.need);
+        }
+        free
+    }
     pub fn zone(&self) -> &str {
         &self.zone
     }
@@ -222,9 +234,12 @@
     fn need(&self) -> Need {
         need_of(&self.spec)
     }
+    /// Tasks with a place that are not done yet.
+    fn busy(&self) -> u32 {
+        self.live.keys().filter(|i| !self.progress.has(**i)).count() as u32
+    }
     fn waiting(&self) -> u32 {
-        let busy = self.live.keys().filter(|i| !self.progress.has(**i)).count() as u32;
-        self.spec.tasks.saturating_sub(self.progress.count() + busy)
+        self.spec.tasks.saturating_sub(self.progress.count() + self.busy())
     }
     /// One entry or ghost of the task less; true when none is left.
     fn release(&mut self, index: u32) -> bool {
@@ -277,6 +292,7 @@
     Commit,
 }
 
+#[derive(Default)]
 struct Flying {
     /// The new pages with what they place.
     pages: Vec<(String, Vec<Row>)>,
@@ -331,7 +347,6 @@
     lease_s: f64,
     report_s: f64,
     margin_s: f64,
-    rows_per_page: usize,
     value_limit: usize,
     machines: BTreeMap<MachineId, Machine>,
     jobs: BTreeMap<JobId, Job>,
@@ -376,7 +391,6 @@
             lease_s: w.lease_s,
             report_s: w.report_s,
             margin_s: settings.margin_s(),
-            rows_per_page: blocks::rows_per_page(settings.value_limit()),
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             pages: Pages::new(token),
@@ -407,6 +421,14 @@
         }
     }
 
+    fn rows_per_page(&self) -> usize {
+        blocks::rows_per_page(self.value_limit)
+    }
+
+    fn team(&self, spec: &JobSpec) -> Option<usize> {
+        self.team_names.iter().position(|n| *n == spec.team)
+    }
+
     pub fn token(&self) -> Token {
         self.token
     }
@@ -443,8 +465,7 @@
 
     pub fn counts(&self, id: JobId) -> Option<Counts> {
         let job = self.jobs.get(&id)?;
-        let running = job.live.keys().filter(|i| !job.progress.has(**i)).count() as u32;
-        Some(Counts { done: job.progress.count(), running })
+        Some(Counts { done: job.progress.count(), running: job.busy() })
     }
 
     pub fn all_counts(&self) -> impl Iterator<Item = (JobId, Counts)> + '_ {
@@ -462,21 +483,19 @@
             // A job that fails everywhere earns no machines while it waits.
             let left = if job.errors > 3 && job.progress.count() == 0 { left.min(1) } else { left };
             // Above its team's limit nothing of it can run.
-            let limit =
-                self.team_names.iter().position(|n| *n == job.spec.team).map(|t| self.teams[t].1);
+            let limit = self.team(&job.spec).map(|t| self.teams[t].1);
             let most = match limit {
                 Some(cpus) if cpus > 0.0 && job.spec.cpus > 0.0 => {
                     (cpus / job.spec.cpus + EPSILON) as u32
                 }
                 _ => u32::MAX,
             };
-            let busy = job.live.keys().filter(|i| !job.progress.has(**i)).count() as u32;
             out.push(Demand {
                 job: *id,
                 class: job.spec.class.clone(),
                 need: job.need(),
                 left: left.min(most),
-                placed: busy.min(most),
+                placed: job.busy().min(most),
                 run_s: self.run_s(job),
                 age_s: age_s(wall, &job.spec),
                 due_s: job.spec.due_s,
@@ -507,7 +526,7 @@
             free -= e.need.cpus;
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let run_s = self.run_s(job);
-            let ran = e.started.map_or(0.0, |s| now.since(s));
+            let ran = e.ran_s(now);
             // What runs longer than expected may go on as long again.
             let left = if ran < run_s { run_s - ran } else { run_s * 0.25 };
             if job.spec.kind == JobKind::Batch {
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -113,15 +113,12 @@
             team_used: vec![(0.0, 0.0); self.teams.len()],
             zones: BTreeMap::new(),
             // No more than the next few transactions can carry.
-            budget: (self.rows_per_page * 4).saturating_sub(self.plans.len()),
+            budget: (self.rows_per_page() * 4).saturating_sub(self.plans.len()),
             soon: None,
         };
         for (id, m) in &self.machines {
-            let mut free = m.free(shapes, &self.jobs);
+            let free = m.unpromised(shapes, &self.jobs);
             for (task, e) in &m.entries {
-                if e.ahead.is_none() && !e.may_be_there() {
-                    free.sub(&e.need);
-                }
                 if let Some(t) = e.team {
                     round.team_used[t].0 += e.need.cpus;
                     round.team_used[t].1 += e.need.gpus;
@@ -168,10 +165,7 @@
             if m.entries.values().all(|e| e.ahead.is_none()) {
                 continue;
             }
-            let mut free = m.free(shapes, &self.jobs);
-            for e in m.entries.values().filter(|e| e.ahead.is_none() && !e.may_be_there()) {
-                free.sub(&e.need);
-            }
+            let mut free = m.unpromised(shapes, &self.jobs);
             for (task, e) in &mut m.entries {
                 let Some(since) = e.ahead else { continue };
                 if e.need.fits(&free) {
@@ -324,6 +318,10 @@
     /// Jobs that fit into their team's guarantee together with its earlier
     /// unfinished jobs: they need not wait for other teams.
     fn guaranteed(&self) -> BTreeSet<JobId> {
+        let mut within = BTreeSet::new();
+        if self.teams.iter().all(|(cpus, _, gpus, _)| *cpus <= 0.0 && *gpus <= 0.0) {
+            return within;
+        }
         let open = |j: &Job| j.state == JobState::Open && !j.complete();
         let mut by_age: Vec<(u64, JobId)> = self
             .jobs
@@ -333,12 +331,9 @@
             .collect();
         by_age.sort();
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let mut within = BTreeSet::new();
         for (_, id) in by_age {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let Some(t) = self.team_names.iter().position(|n| *n == job.spec.team) else {
-                continue;
-            };
+            let Some(t) = self.team(&job.spec) else { continue };
             let left = f64::from(job.spec.tasks.saturating_sub(job.progress.count()));
             used[t].0 += left * job.spec.cpus;
             used[t].1 += left * job.spec.gpus;
@@ -378,7 +373,7 @@
             for (task, e) in &m.entries {
                 let Some(j) = self.jobs.get(&task.job) else { continue };
                 let borrowed = e.team != own && e.team.is_some_and(|t| over[t] >= e.need.cpus);
-                let ran = e.started.map_or(0.0, |s| now.since(s));
+                let ran = e.ran_s(now);
                 let begun = matches!(e.state, State::Seen(_)) && !e.inherited;
                 if borrowed
                     && begun
@@ -421,15 +416,20 @@
             }
             for task in victims {
                 log::info!("{task} on {machine} gives back borrowed room to {id}");
-                let save_s = self.jobs.get(&task.job).map_or(0.0, |j| j.spec.save_s);
-                if let Some(e) = self.entry(machine, task) {
-                    e.kill = Some(save_s);
-                }
+                self.stop(machine, task);
             }
-            self.stops.insert(machine);
         }
     }
 
+    /// Stops a task that makes room, with the time it needs to save.
+    fn stop(&mut self, machine: MachineId, task: TaskId) {
+        let save_s = self.jobs.get(&task.job).map_or(0.0, |j| j.spec.save_s);
+        if let Some(e) = self.entry(machine, task) {
+            e.kill = Some(save_s);
+        }
+        self.stops.insert(machine);
+    }
+
     /// The waiting jobs, in the order in which they get room.
     fn order(
         &self,
@@ -439,6 +439,7 @@
         guaranteed: &BTreeSet<JobId>,
     ) -> Vec<Waiting> {
         let mut order = Vec::new();
+        let bound = round.settings.aim("guarantee", "").unwrap_or(self.horizon_s());
         for (id, j) in &self.jobs {
             if j.state != JobState::Open || j.hold_until > now || j.waiting() == 0 {
                 continue;
@@ -471,7 +472,6 @@
             // Once the aim on guaranteed work is missed, it waits its turn: what
             // is stopped for it later costs others and meets no aim.
             let within = guaranteed.contains(id);
-            let bound = round.settings.aim("guarantee", "").unwrap_or(self.horizon_s());
             let prompt = within && age <= bound;
             let rank = (!prompt, u8::MAX - spec.urgency as u8, late, !within);
             order.push(Waiting { id: *id, rank, left, pressing, wait_s });
@@ -542,13 +542,13 @@
         let Some(top) = pressed.iter().map(|p| p.urgency).max() else { return };
         let mut lacking: f64 = pressed.iter().filter(|p| p.urgency == top).map(|p| p.cpus).sum();
         let soonest = pressed.iter().map(|p| p.within_s).fold(f64::INFINITY, f64::min);
-        let mut victims: Vec<(f64, MachineId, TaskId, f64, f64)> = Vec::new();
+        let mut victims: Vec<(f64, MachineId, TaskId, f64)> = Vec::new();
         for (id, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
             let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { continue };
             let fits = pressed.iter().any(|p| allows(&p.spec, shape, m));
             for (task, e) in &m.entries {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
-                let ran = e.started.map_or(0.0, |s| now.since(s));
+                let ran = e.ran_s(now);
                 let run_s = self.run_s(job);
                 if e.kill.is_some() {
                     lacking -= e.need.cpus;
@@ -559,21 +559,18 @@
                     }
                 } else if matches!(e.state, State::Seen(_)) && fits && ran < run_s * YOUNG {
                     let kept = if job.spec.checkpoint_s > 0.0 { 0.1 } else { 1.0 };
-                    victims.push((ran * kept, *id, *task, e.need.cpus, job.spec.save_s));
+                    victims.push((ran * kept, *id, *task, e.need.cpus));
                 }
             }
         }
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, machine, task, cpus, save_s) in victims {
+        for (_, machine, task, cpus) in victims {
             if lacking <= 0.0 {
                 break;
             }
             lacking -= cpus;
             log::info!("{task} on {machine} makes room for more urgent work");
-            if let Some(e) = self.entry(machine, task) {
-                e.kill = Some(save_s);
-            }
-            self.stops.insert(machine);
+            self.stop(machine, task);
         }
     }
 }
--- a/src/placement/reports.rs
+++ b/src/placement/reports.rs
@@ -289,7 +289,7 @@
             // it will be done by then; one that cannot runs on, for luck.
             for (task, e) in m.entries.iter_mut().filter(|(_, e)| e.kill.is_none()) {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
-                let ran = e.started.map_or(0.0, |s| now.since(s));
+                let ran = e.ran_s(now);
                 if job.spec.checkpoint_s > 0.0
                     && matches!(e.state, State::Seen(Phase::Running))
                     && job.spec.save_s < notice
--- a/src/progress.rs
+++ b/src/progress.rs
@@ -167,6 +167,24 @@
     cleaned: Vec<String>,
 }
 
+impl Shelved {
+    /// An empty shelf goes with this transaction.
+    pub fn remove(&mut self, shelf: usize) {
+        self.removed.push(shelf);
+    }
+
+    /// So does a key of the form before.
+    pub fn clean(&mut self, key: String) {
+        self.cleaned.push(key);
+    }
+}
+
+/// Most that one chunk of a job takes on a shelf.
+fn item_bytes(chunk: u32, tasks: u32) -> usize {
+    let bits = tasks.saturating_sub(chunk * CHUNK).min(CHUNK) as usize;
+    ITEM_BYTES + bits.div_ceil(8) * 2
+}
+
 pub fn shelf_key(shelf: usize) -> String {
     format!("{PROGRESS_PREFIX}s{shelf:04}")
 }
@@ -187,8 +205,7 @@
         let shelf = match self.home.get(&item) {
             Some(shelf) => *shelf,
             None => {
-                let bits = tasks.saturating_sub(item.1 * CHUNK).min(CHUNK) as usize;
-                let bytes = ITEM_BYTES + bits.div_ceil(8) * 2;
+                let bytes = item_bytes(item.1, tasks);
                 let free = |s: &Shelf| s.bytes + bytes <= self.limit;
                 let shelf = match self.shelves.iter().position(free) {
                     Some(shelf) => shelf,
@@ -274,14 +291,6 @@
         Some(wire::to_value(&record))
     }
 
-    pub fn remove(&mut self, shelf: usize, sent: &mut Shelved) {
-        sent.removed.push(shelf);
-    }
-
-    pub fn clean(&mut self, key: String, sent: &mut Shelved) {
-        sent.cleaned.push(key);
-    }
-
     pub fn written(&mut self, sent: Shelved, stamp: Stamp, open: &mut impl Open) {
         for (shelf, items) in sent.written {
             if let Some(s) = self.shelves.get_mut(shelf) {
@@ -351,8 +360,7 @@
                 if self.home.contains_key(&item) {
                     continue;
                 }
-                let bits = tasks.saturating_sub(item.1 * CHUNK).min(CHUNK) as usize;
-                let bytes = ITEM_BYTES + bits.div_ceil(8) * 2;
+                let bytes = item_bytes(item.1, tasks);
                 self.settle(item, shelf, bytes);
             }
             return Ok(());
