--- a/crates/controller/src/directives.rs
+++ b/crates/controller/src/directives.rs
@@ -6,7 +6,7 @@
 //! there. The loops that work out wanted against actual take it from here.
 
 use crate::calls::{MirrorCall, Tag};
-use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Txn};
+use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply};
 use crate::mirror::{Freshness, Keeping, Mirror};
 use beamhinge_operators::directives::{Change, Changed, Directive, Target, VERSION};
 use beamhinge_vocab::types::{MachineId, RequestId, Stamp, Time, WallMs};
@@ -238,7 +238,7 @@
                 told.push((p.request, Told::Full));
             } else {
                 let stamp = kept.map_or(Stamp(0), |(s, _)| *s);
-                let mut txn = Txn::default();
+                let mut txn = ledger.txn();
                 // A drain that is changed counts its time anew.
                 let directive = p.change.set.then(|| Directive {
                     target: p.change.target.clone(),
@@ -249,11 +249,16 @@
                     note: p.change.note.clone(),
                 });
                 let value = wire::to_value(&Record { v: VERSION, directive });
-                txn.write(key(&p.change.target), stamp, value, None);
+                if let Err(full) = txn.write(key(&p.change.target), stamp, value, None) {
+                    tracing::error!("{:?} cannot be kept: {full}", p.change.target);
+                    told.push((p.request, Told::Busy("it is longer than can be kept")));
+                    continue;
+                }
                 if kept.is_none() && self.entries.len() >= MOST_KEPT {
                     let lifted = self.entries.iter().filter(|(_, (_, d))| d.is_none());
                     if let Some((target, (stamp, _))) = lifted.min_by_key(|(_, (s, _))| *s) {
-                        txn.delete(key(target), *stamp);
+                        // Where it does not fit, the oldest goes next time.
+                        let _ = txn.delete(key(target), *stamp);
                     }
                 }
                 p.flying = true;
@@ -276,7 +281,7 @@
         let Some(at) = self.pending.iter().position(|p| p.serial == serial) else { return };
         let committed = match reply.outcome {
             Outcome::Ok(body) => wire::decode::<Committed>(&body).is_ok(),
-            Outcome::Refused => {
+            Outcome::Refused | Outcome::Malformed => {
                 let p = self.pending.remove(at);
                 told.extend(
                     p.map(|p| (p.request, Told::Busy("the state service cannot be reached"))),
--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -3,11 +3,28 @@
 
 use super::*;
 
+/// How long nothing is recorded after a rental that could not be.
+const RECORD_PAUSE_S: f64 = 5.0;
+
+/// Names in a row, first and last of each.
+fn spans(machines: impl Iterator<Item = MachineId>) -> Vec<(String, String)> {
+    let mut rows: Vec<(MachineId, MachineId)> = Vec::new();
+    let mut sorted: Vec<MachineId> = machines.collect();
+    sorted.sort_unstable();
+    for m in sorted {
+        match rows.last_mut() {
+            Some((_, last)) if last.next() == m => *last = m,
+            _ => rows.push((m, m)),
+        }
+    }
+    rows.into_iter().map(|(a, b)| (a.to_string(), b.to_string())).collect()
+}
+
 impl Term {
     /// Rental names are recorded before they are used. They begin with our
     /// token, so nobody else can ever use the same name.
     pub(super) fn keep_record(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
-        if self.record_flying || now < self.retry_at {
+        if self.record_flying || now < self.retry_at || !self.course.due(now) {
             return;
         }
         let Some(stamp) = self.record else {
@@ -19,16 +36,55 @@
         if !unrecorded || self.owned.is_none() {
             return;
         }
-        let owned = self.owned.iter().flatten().map(|m| m.to_string()).collect();
-        let lately = self.lately.iter().map(|(_, row)| row.clone());
-        let rentals: Vec<RentalRow> =
-            self.rentals.iter().map(|r| r.row.clone()).chain(lately).collect();
-        self.written = rentals.iter().map(|r| r.name.clone()).collect();
-        self.record_flying = true;
-        let mut txn = Txn::default();
-        txn.when(crate::leader::BLOCK, Stamp(self.token.0));
-        txn.write(RENTALS_KEY, stamp, wire::to_value(&RentalRecord { v: 1, rentals, owned }), None);
-        ledger.commit(now, Priority::Place, Tag::Fleet(FleetCall::Write), txn);
+        // Every name that is in use must stay in the record; of the new ones as
+        // many as fit. The rest waits, and is not rented under until it is there.
+        let (kept, new): (Vec<&Rental>, Vec<&Rental>) =
+            self.rentals.iter().partition(|r| r.recorded);
+        let mut take = (new.len() / self.course.part()).max(1);
+        let mut listed = true;
+        loop {
+            let fresh = new.iter().take(take).map(|r| r.row.clone());
+            let used = kept.iter().map(|r| r.row.clone());
+            let lately = self.lately.iter().map(|(_, row)| row.clone());
+            let rentals: Vec<RentalRow> = used.chain(fresh).chain(lately).collect();
+            let written = rentals.iter().map(|r| r.name.clone()).collect();
+            let mut record = RentalRecord { v: 1, rentals, owned: Vec::new(), spans: Vec::new() };
+            let owned = self.owned.iter().flatten().copied();
+            if listed {
+                record.owned = owned.map(|m| m.to_string()).collect();
+            } else {
+                record.spans = spans(owned);
+            }
+            let mut txn = ledger.txn();
+            let built = txn
+                .when(crate::leader::BLOCK, Stamp(self.token.0))
+                .and_then(|()| txn.write(RENTALS_KEY, stamp, wire::to_value(&record), None));
+            match built {
+                Ok(()) => {
+                    self.written = written;
+                    self.record_flying = true;
+                    let tag = Tag::Fleet(FleetCall::Write);
+                    return ledger.commit(now, Priority::Place, tag, txn);
+                }
+                Err(_) if listed => listed = false,
+                Err(_) if take > 1 => take /= 2,
+                Err(full) => {
+                    tracing::error!("a rental does not fit into {RENTALS_KEY}: {full}");
+                    return self.give_up_rentals(now);
+                }
+            }
+        }
+    }
+
+    /// Rentals that cannot be recorded are not made; what is wanted is worked
+    /// out anew, a little later.
+    pub(super) fn give_up_rentals(&mut self, now: Time) {
+        let before = self.rentals.len();
+        self.rentals.retain(|r| r.recorded);
+        let dropped = before - self.rentals.len();
+        tracing::error!("{dropped} rentals could not be recorded and are given up");
+        self.course.succeeded();
+        self.retry_at = now.plus(RECORD_PAUSE_S);
     }
 
     pub(super) fn take_list(&mut self, now: Time, list: HostList, shapes: &[Shape]) {
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -8,10 +8,11 @@
 
 use crate::calls::{FleetCall, Tag};
 use crate::directives::Standing;
-use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan};
 use crate::market::Splits;
 use crate::placement::Placement;
 use crate::split::Shape;
+use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
 use beamhinge_vocab::http::Method;
@@ -163,6 +164,19 @@
     /// Machines that were there before the service rented any.
     #[serde(default)]
     owned: Vec<String>,
+    /// First and last of their names in a row, where all names would be too
+    /// long for one value.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    spans: Vec<(String, String)>,
+}
+
+impl RentalRecord {
+    fn owned(&self) -> Vec<MachineId> {
+        let spans = self.spans.iter().filter_map(|(first, last)| {
+            Some(MachineId::parse(first)?.row_to(MachineId::parse(last)?))
+        });
+        self.owned.iter().filter_map(|m| MachineId::parse(m)).chain(spans.flatten()).collect()
+    }
 }
 
 #[derive(Debug)]
@@ -200,6 +214,8 @@
     lists: u32,
     released: BTreeMap<MachineId, Time>,
     retry_at: Time,
+    /// How the record of rentals is tried again.
+    course: Course,
     decided: Time,
     /// When machines to return were last looked for.
     returned: Time,
@@ -264,6 +280,7 @@
             lists: 0,
             released: BTreeMap::new(),
             retry_at: Time::default(),
+            course: Course::new(0.2, 5.0),
             decided: Time::default(),
             returned: Time::default(),
             owned: None,
@@ -608,11 +625,10 @@
                         Ok(r) if r.v == 1 => {
                             term.written = r.rentals.iter().map(|x| x.name.clone()).collect();
                             let ours = format!("r-{}-", term.token.0);
+                            let owned = r.owned();
                             term.inherited = r.rentals;
                             term.inherited.retain(|x| !x.name.starts_with(&ours));
-                            term.owned.get_or_insert(
-                                r.owned.iter().filter_map(|m| MachineId::parse(m)).collect(),
-                            );
+                            term.owned.get_or_insert(owned);
                         }
                         _ => {
                             tracing::error!(
@@ -632,6 +648,7 @@
             }
             (FleetCall::Write, Outcome::Ok(body)) => match wire::decode::<Committed>(&body) {
                 Ok(c) => {
+                    term.course.succeeded();
                     term.record = Some(Stamp(c.rev));
                     for r in &mut term.rentals {
                         if term.written.contains(&r.row.name) {
@@ -642,8 +659,15 @@
                 Err(_) => term.record = None,
             },
             (FleetCall::Write, Outcome::Refused) => {
+                term.course.busy(now);
                 term.retry_at = now.plus(0.2);
             }
+            // Half of what is new goes into the next; in the end none of it.
+            (FleetCall::Write, Outcome::Malformed) => {
+                if term.course.malformed(now) == Next::Aside {
+                    term.give_up_rentals(now);
+                }
+            }
             (FleetCall::Write, _) => {
                 term.record = None;
                 term.retry_at = now.plus(0.2);
--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -6,7 +6,7 @@
 
 use crate::calls::{IntakeCall, Tag};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
-use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Txn};
+use crate::ledger::{Committed, Full, Ledger, Outcome, Priority, Reply};
 use crate::mirror::Freshness;
 use crate::split::{self, Need, Shape};
 use beamhinge_vocab::messages::{Counts, Out};
@@ -23,6 +23,8 @@
 const MOST_COMMAND: usize = 2_048;
 /// Requests that may wait here; beyond it users are told to come back.
 const WAITING_LIMIT: usize = 400;
+/// Jobs that one transaction accepts.
+const MOST_ACCEPTS: usize = 8;
 /// A poll's client waits two seconds: no answer of ours takes longer.
 const POLL_PATIENCE_S: f64 = 1.4;
 const SUBMIT_PATIENCE_S: f64 = 3.0;
@@ -149,6 +151,11 @@
     {
         return Verdict::Never("above the team's limit");
     }
+    // What no value can hold can never be accepted. A tenth stays free for the
+    // records that follow: a job must always be able to end.
+    if wire::json_len(&jobs::open_record(spec)) > settings.value_limit() {
+        return Verdict::Never("the description is longer than the state service takes");
+    }
     if shapes.is_empty() {
         return Verdict::Undecided;
     }
@@ -436,7 +443,7 @@
                 Self::busy(out, w.request, "the state service does not answer");
             }
         }
-        self.send_accepts(now, ledger);
+        self.send_accepts(now, ledger, out);
         let mut over = Vec::new();
         for (id, c) in &mut self.cancels {
             if c.flying || now < c.retry_at {
@@ -445,9 +452,14 @@
             let entry = book.get(*id);
             match entry.map(|e| (e.state, e.spec.as_ref())) {
                 Some((JobState::Open, Some(spec))) if now.since(c.since) < SUBMIT_PATIENCE_S => {
-                    let mut txn = Txn::default();
+                    let mut txn = ledger.txn();
                     let stamp = entry.map_or(Stamp(0), |e| e.stamp);
-                    txn.write(jobs::key(*id), stamp, jobs::cancelled_record(spec), None);
+                    let value = jobs::cancelled_record(spec);
+                    if let Err(full) = txn.write(jobs::key(*id), stamp, value, None) {
+                        tracing::error!("the cancellation of {id} cannot be written: {full}");
+                        over.push((*id, None));
+                        continue;
+                    }
                     c.flying = true;
                     ledger.commit(now, Priority::Accept, Tag::Intake(IntakeCall::Cancel(*id)), txn);
                 }
@@ -470,24 +482,35 @@
         }
     }
 
-    fn send_accepts(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
+    fn send_accepts(&mut self, now: Time, ledger: &mut Ledger<Tag>, out: &mut Vec<Out>) {
         while self.accepts_flying < 3 {
-            let mut txn = Txn::default();
+            let mut txn = ledger.txn();
             let mut ids = Vec::new();
             while let Some(id) = self.order.front().copied() {
                 let Some(a) = self.accepts.get_mut(&id).filter(|a| !a.flying) else {
                     self.order.pop_front();
                     continue;
                 };
-                let value = jobs::open_record(&a.spec);
-                if txn.puts() >= ledger.max_puts().min(8)
-                    || !txn.has_room(wire::json_len(&value) + 256) && txn.puts() > 0
-                {
+                // One that is refused takes the others with it: few at a time.
+                if txn.writes() >= MOST_ACCEPTS {
                     break;
                 }
-                a.flying = true;
-                txn.write(jobs::key(id), Stamp(0), value, None);
-                ids.push(id);
+                let value = jobs::open_record(&a.spec);
+                match txn.write(jobs::key(id), Stamp(0), value, None) {
+                    Ok(()) => {
+                        a.flying = true;
+                        ids.push(id);
+                    }
+                    Err(Full::Now) => break,
+                    // `judge` lets none of these through; its user is told at
+                    // once, and the others go on.
+                    Err(full) => {
+                        let Some(a) = self.accepts.remove(&id) else { continue };
+                        for to in a.requests {
+                            Self::busy(out, to, &format!("cannot be kept: {full}"));
+                        }
+                    }
+                }
                 self.order.pop_front();
             }
             if ids.is_empty() {
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -7,7 +7,7 @@
 //! else really takes over.
 
 use crate::calls::{LeadCall, Tag};
-use crate::ledger::{Committed, Ledger, News, Outcome, Permit, Priority, Reply, Scan, Txn};
+use crate::ledger::{Committed, Full, Ledger, News, Outcome, Permit, Priority, Reply, Scan};
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Stamp, Time, Token};
 use beamhinge_vocab::wire;
@@ -196,9 +196,10 @@
         if self.token.is_some() && !self.check_flying && now.since(self.check_sent) > 1.0 {
             self.check_flying = true;
             self.check_sent = now;
-            let mut txn = Txn::default();
-            txn.when(BLOCK, self.block_stamp());
-            ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Check), txn);
+            let mut txn = ledger.txn();
+            if txn.when(BLOCK, self.block_stamp()).is_ok() {
+                ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Check), txn);
+            }
         }
         self.try_take(now, ledger);
     }
@@ -226,10 +227,14 @@
         if let Some(token) = self.token {
             // Our lease lapsed but nobody took the block: hang the key up again.
             self.taking = true;
-            let mut txn = Txn::default();
-            txn.when(BLOCK, Stamp(token.0));
-            txn.write(LEAD, stamp, wire::to_value(&self.me), Some(permit));
-            ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Reclaim), txn);
+            let mut txn = ledger.txn();
+            let built = txn
+                .when(BLOCK, Stamp(token.0))
+                .and_then(|()| txn.write(LEAD, stamp, wire::to_value(&self.me), Some(permit)));
+            match built {
+                Ok(()) => ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Reclaim), txn),
+                Err(full) => self.unbuildable(now, full),
+            }
             return;
         }
         match &self.block {
@@ -245,10 +250,15 @@
             }
             Some((_, block_stamp)) => {
                 self.taking = true;
-                let mut txn = Txn::default();
-                txn.write(LEAD, stamp, wire::to_value(&self.me), Some(permit));
-                txn.write(BLOCK, *block_stamp, wire::to_value(&self.me), None);
-                ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Take), txn);
+                let mut txn = ledger.txn();
+                let me = wire::to_value(&self.me);
+                let built = txn
+                    .write(LEAD, stamp, me.clone(), Some(permit))
+                    .and_then(|()| txn.write(BLOCK, *block_stamp, me, None));
+                match built {
+                    Ok(()) => ledger.commit(now, Priority::Lease, Tag::Lead(LeadCall::Take), txn),
+                    Err(full) => self.unbuildable(now, full),
+                }
             }
             None => {}
         }
@@ -406,6 +416,13 @@
         Standing::Same
     }
 
+    /// A label too long for any value: nothing can be led with it.
+    fn unbuildable(&mut self, now: Time, full: Full) {
+        tracing::error!("the lead cannot be written: {full}");
+        self.taking = false;
+        self.retry_at = now.plus(10.0);
+    }
+
     fn reread(&mut self, now: Time) {
         self.lead_rev = None;
         if self.token.is_none() {
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -4,10 +4,12 @@
 //! either changes nothing or does what was meant. A reply that never came is
 //! reported as [`Outcome::Lost`]; its caller reads again and assumes nothing.
 
+use beamhinge_limits::Limits;
+pub use beamhinge_limits::{Full, Txn};
 use beamhinge_vocab::http::Method;
 use beamhinge_vocab::messages::{Dest, Out};
 use beamhinge_vocab::settings::Settings;
-use beamhinge_vocab::types::{CallId, Stamp, Time};
+use beamhinge_vocab::types::{CallId, Time};
 use beamhinge_vocab::wire;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
@@ -27,7 +29,6 @@
 /// How long a request may wait here before it counts as refused.
 const PATIENCE_S: f64 = 1.5;
 const QUEUE_LIMIT: usize = 256;
-const COMMIT_LIMIT: usize = 56 * 1024;
 
 #[derive(Debug)]
 pub enum Outcome {
@@ -40,8 +41,10 @@
     Gone,
     /// 400 "no such lease".
     NoLease,
-    /// Certainly not executed.
+    /// Certainly not executed: the rate is spent, or the service is away.
     Refused,
+    /// 400: not executed, and the same again would not be either.
+    Malformed,
     /// May have been executed, or may be later.
     Lost,
 }
@@ -107,93 +110,6 @@
     error: Option<String>,
 }
 
-#[derive(Serialize)]
-struct When<'a> {
-    path: &'a str,
-    stamp: u64,
-}
-
-#[derive(Serialize)]
-struct Then<'a> {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    write: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    value: Option<&'a Value>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    permit: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    delete: Option<&'a str>,
-}
-
-#[derive(Serialize)]
-struct Body<'a> {
-    when: Vec<When<'a>>,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    then: Vec<Then<'a>>,
-}
-
-/// A transaction being put together.
-#[derive(Default, Debug)]
-pub struct Txn {
-    when: Vec<(String, Stamp)>,
-    then: Vec<(String, Option<Value>, Option<u64>)>,
-    size: usize,
-}
-
-impl Txn {
-    pub fn when(&mut self, key: impl Into<String>, stamp: Stamp) {
-        let key = key.into();
-        if !self.when.iter().any(|(k, _)| *k == key) {
-            self.size += key.len() + 32;
-            self.when.push((key, stamp));
-        }
-    }
-    /// Writes `key` on condition that its version still is `stamp`.
-    pub fn write(
-        &mut self,
-        key: impl Into<String>,
-        stamp: Stamp,
-        value: Value,
-        permit: Option<u64>,
-    ) {
-        let key = key.into();
-        self.when(key.clone(), stamp);
-        self.size += key.len() + wire::json_len(&value) + 48;
-        self.then.push((key, Some(value), permit));
-    }
-    pub fn delete(&mut self, key: impl Into<String>, stamp: Stamp) {
-        let key = key.into();
-        self.when(key.clone(), stamp);
-        self.size += key.len() + 24;
-        self.then.push((key, None, None));
-    }
-    pub fn puts(&self) -> usize {
-        self.then.len()
-    }
-    pub fn conditions(&self) -> usize {
-        self.when.len()
-    }
-    /// Whether `more` bytes of JSON still fit into one transaction.
-    pub fn has_room(&self, more: usize) -> bool {
-        self.size + more < COMMIT_LIMIT
-    }
-    fn body(&self) -> Vec<u8> {
-        wire::encode(&Body {
-            when: self.when.iter().map(|(k, s)| When { path: k, stamp: s.0 }).collect(),
-            then: self
-                .then
-                .iter()
-                .map(|(k, v, permit)| Then {
-                    write: v.is_some().then_some(k.as_str()),
-                    value: v.as_ref(),
-                    permit: *permit,
-                    delete: v.is_none().then_some(k.as_str()),
-                })
-                .collect(),
-        })
-    }
-}
-
 struct Queued<T> {
     tag: T,
     method: Method,
@@ -221,7 +137,7 @@
     requests: Bucket,
     writes: Bucket,
     full: (f64, f64),
-    txn_ops: usize,
+    limits: Limits,
     queues: [VecDeque<Queued<T>>; PRIORITIES],
     flying: BTreeMap<CallId, (T, Time)>,
     refused: Vec<Reply<T>>,
@@ -235,7 +151,7 @@
             requests: Bucket { rate: s.rps, level: 0.0, at: Time::default() },
             writes: Bucket { rate: s.write_rps, level: 0.0, at: Time::default() },
             full: (s.rps, s.write_rps),
-            txn_ops: s.txn_ops,
+            limits: Limits::of(s),
             queues: Default::default(),
             flying: BTreeMap::new(),
             refused: Vec::new(),
@@ -249,9 +165,14 @@
         self.writes.rate = (self.full.1 * share).max(2.0);
     }
 
-    /// Most writes that one transaction may hold and still ever be sent.
-    pub fn max_puts(&self) -> usize {
-        self.txn_ops.min(self.writes.rate as usize).max(2)
+    /// What one transaction may hold and still ever be sent.
+    pub fn limits(&self) -> Limits {
+        self.limits.paced((self.writes.rate as usize).max(2))
+    }
+
+    /// An empty transaction within these limits.
+    pub fn txn(&self) -> Txn {
+        Txn::new(self.limits())
     }
 
     /// Writes that could be sent now, and the rate at which they come back.
@@ -260,10 +181,6 @@
         (self.writes.level, self.writes.rate)
     }
 
-    pub fn max_conditions(&self) -> usize {
-        self.txn_ops * 4
-    }
-
     fn push(
         &mut self,
         now: Time,
@@ -282,7 +199,7 @@
     }
 
     pub fn commit(&mut self, now: Time, p: Priority, tag: T, txn: Txn) {
-        let puts = txn.puts();
+        let puts = txn.writes();
         self.push(now, p, (tag, Method::Post, "/commit".into(), txn.body()), puts, 2.0);
     }
 
@@ -398,7 +315,7 @@
                     Outcome::NoLease
                 } else {
                     tracing::error!("state service calls our request malformed: {error:?}");
-                    Outcome::Refused
+                    Outcome::Malformed
                 }
             }
             // An unknown status says nothing about whether it was executed.
--- a/crates/controller/src/market.rs
+++ b/crates/controller/src/market.rs
@@ -8,7 +8,7 @@
 //! a boot costs as much as a task.
 
 use crate::calls::{FleetCall, Tag};
-use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan};
 use crate::split::{self, Demand, Learner, Market, Past, Shape};
 use beamhinge_operators::reasons::Reason;
 use beamhinge_vocab::settings::{Operator, Settings};
@@ -489,19 +489,33 @@
         self.retry_at = now.plus(self.update_s);
         // Thirty bytes a job: beyond the limit the rest draw anew after a
         // change of leader.
-        let most = limit.saturating_sub(1_024) / 40;
-        let alive = self.jobs.iter().filter(|(_, h)| h.alive).take(most);
+        let mut most = limit.saturating_sub(1_024) / 40;
+        let mut classes = 16;
         let round = |w: f64| (w * 1e6).round() / 1e6;
-        let record = Record {
-            v: 1,
-            weights: self.learner.weights().into_iter().map(round).collect(),
-            splits: alive.map(|(id, h)| (id.to_string(), (h.pair, h.owned))).collect(),
-            runs: runs.iter().take(16).map(|(c, f)| (c.clone(), round(*f))).collect(),
-        };
-        let mut txn = Txn::default();
-        txn.when(crate::leader::BLOCK, Stamp(token.0));
-        txn.write(KEY, stamp, wire::to_value(&record), None);
-        ledger.commit(now, Priority::Rest, Tag::Fleet(FleetCall::WriteSplit), txn);
+        // Tiny values and long names of classes: less is kept, never nothing.
+        loop {
+            let alive = self.jobs.iter().filter(|(_, h)| h.alive).take(most);
+            let record = Record {
+                v: 1,
+                weights: self.learner.weights().into_iter().map(round).collect(),
+                splits: alive.map(|(id, h)| (id.to_string(), (h.pair, h.owned))).collect(),
+                runs: runs.iter().take(classes).map(|(c, f)| (c.clone(), round(*f))).collect(),
+            };
+            let mut txn = ledger.txn();
+            let built = txn
+                .when(crate::leader::BLOCK, Stamp(token.0))
+                .and_then(|()| txn.write(KEY, stamp, wire::to_value(&record), None));
+            if built.is_ok() {
+                ledger.commit(now, Priority::Rest, Tag::Fleet(FleetCall::WriteSplit), txn);
+                return;
+            }
+            if most == 0 && classes == 0 {
+                tracing::error!("{KEY} cannot be kept: {built:?}");
+                self.flying = false;
+                return;
+            }
+            (most, classes) = (most / 2, classes / 2);
+        }
     }
 
     pub fn on_read(&mut self, now: Time, reply: Reply<Tag>) {
@@ -544,6 +558,12 @@
                 self.dirty = true;
                 self.retry_at = now.plus(1.0);
             }
+            // The same again would be refused again: with the next update the
+            // value is another.
+            Outcome::Malformed => {
+                self.dirty = true;
+                self.retry_at = now.plus(self.update_s);
+            }
             // Lost or changed: read its stamp again.
             _ => {
                 self.dirty = true;
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -8,6 +8,21 @@
 const SHELVE_S: f64 = 0.5;
 /// Pages without use that may stay until writes are to spare.
 const DEAD_PAGES: usize = 150;
+/// Part of the write rate that removals may take when there are more.
+const CROWD_PART: f64 = 0.4;
+/// How long what the state service does not take is left alone.
+const ASIDE_S: f64 = 30.0;
+
+/// What a transaction is made of, in the order of importance.
+#[derive(Clone, Copy)]
+enum Kind {
+    Finals,
+    Pages,
+    Shelves,
+    Removals,
+}
+
+const KINDS: [Kind; 4] = [Kind::Finals, Kind::Pages, Kind::Shelves, Kind::Removals];
 
 impl Placement {
     // ---- loading ----
@@ -56,6 +71,7 @@
             self.retry_at = now.plus(1.0);
             return;
         };
+        self.moved = now;
         load.after = if scan.more { scan.pairs.last().map(|p| p.path.clone()) } else { None };
         match call {
             PlaceCall::Pages => load.pages.extend(scan.pairs),
@@ -94,7 +110,7 @@
         }
         for (id, job) in &self.jobs {
             for chunk in job.progress.dirty() {
-                self.shelves.touch(*id, chunk * progress::CHUNK, job.spec.tasks);
+                self.shelves.touch(*id, job.progress.first_of(chunk), job.spec.tasks);
             }
             if job.complete() && job.state == JobState::Open {
                 self.complete.insert(*id);
@@ -208,58 +224,81 @@
 
     /// One transaction carries all that changed: finished jobs, new pages,
     /// progress, and the removal of pages whose tasks have all ended.
+    ///
+    /// What does not fit stays for the next; where few writes fit, the kinds
+    /// take turns, so that no backlog of one keeps another waiting for ever.
     pub(super) fn commit(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
         if self.flying.is_some() || self.load.is_some() || now < self.retry_at {
             return;
         }
-        let shelve = now.since(self.shelved_at) >= SHELVE_S;
-        let (max_puts, max_when) = (ledger.max_puts(), ledger.max_conditions());
-        let mut txn = Txn::default();
+        if !self.course.due(now) {
+            return;
+        }
+        let limits = ledger.limits().part(self.course.part());
+        let mut txn = Txn::new(limits);
         // Guard 1: whoever lost the block can commit nothing.
-        txn.when(BLOCK, Stamp(self.token.0));
+        if txn.when(BLOCK, Stamp(self.token.0)).is_err() {
+            return;
+        }
+        self.aside.retain(|_, until| *until > now);
+        let few = limits.writes < KINDS.len();
+        let first = if few { self.turn } else { 0 };
         let mut flying = Flying::default();
-        // `done` is written only when every task is, and on condition that
-        // nobody cancelled the job meanwhile.
-        while txn.puts() < (max_puts / 2).max(1) && txn.has_room(4_096) {
-            let Some(id) = self.complete.pop_first() else { break };
-            let Some(job) = self.jobs.get(&id).filter(|j| j.state == JobState::Open) else {
-                continue;
-            };
-            txn.write(jobs::key(id), job.stamp, jobs::done_record(&job.spec), None);
-            flying.finals.push(id);
-        }
-        // One write stays for progress, without which nothing is cleared.
-        while txn.puts() + 1 < max_puts && self.add_page(&mut txn, max_when - 8, &mut flying) {}
-        if shelve {
-            let due: Vec<usize> = self.shelves.due().collect();
-            for shelf in due {
-                if txn.puts() >= max_puts || !txn.has_room(self.value_limit + 256) {
-                    break;
-                }
-                let stamp = self.shelves.stamp(shelf);
-                let value = self.shelves.send(shelf, &mut flying.shelved, &mut self.jobs);
-                if let Some(value) = value {
-                    txn.write(progress::shelf_key(shelf), stamp, value, None);
-                    self.shelved_at = now;
+        for k in 0..KINDS.len() {
+            match KINDS[(first + k) % KINDS.len()] {
+                Kind::Finals => self.add_finals(&mut txn, few, &mut flying),
+                // One write stays for progress, without which nothing is cleared.
+                Kind::Pages => {
+                    let keep = usize::from(!few);
+                    while txn.writes_left() > keep && self.add_page(now, &mut txn, &mut flying) {}
                 }
+                Kind::Shelves => self.add_shelves(now, &mut txn, &mut flying),
+                Kind::Removals => self.clean_up(now, ledger, &mut txn, &mut flying),
             }
         }
-        self.clean_up(now, ledger, &mut txn, max_puts, &mut flying);
-        if txn.puts() == 0 {
+        if txn.writes() == 0 {
             return;
         }
+        self.turn = (self.turn + 1) % KINDS.len();
         self.flying = Some(flying);
         self.retry_at = now.plus(0.02);
         ledger.commit(now, Priority::Place, Tag::Place(PlaceCall::Commit), txn);
     }
 
-    /// One more page with the next plans; false when none went in.
-    fn add_page(&mut self, txn: &mut Txn, max_when: usize, flying: &mut Flying) -> bool {
-        if !txn.has_room(self.value_limit + 2_048) {
-            return false;
+    fn resting(&self, part: Part) -> bool {
+        self.aside.contains_key(&part)
+    }
+
+    /// `done` is written only when every task is, and on condition that nobody
+    /// cancelled the job meanwhile.
+    fn add_finals(&mut self, txn: &mut Txn, few: bool, flying: &mut Flying) {
+        let most = if few { txn.writes_left() } else { txn.writes_left() / 2 };
+        let due: Vec<JobId> =
+            self.complete.iter().filter(|id| !self.resting(Part::Job(**id))).copied().collect();
+        for id in due {
+            if flying.finals.len() >= most {
+                return;
+            }
+            if let Some(job) = self.jobs.get(&id).filter(|j| j.state == JobState::Open) {
+                let record = jobs::done_record(&job.spec);
+                if txn.write(jobs::key(id), job.stamp, record, None).is_err() {
+                    return;
+                }
+                flying.finals.push(id);
+            }
+            self.complete.remove(&id);
         }
+    }
+
+    /// One more page with the next plans; false when none went in.
+    fn add_page(&mut self, now: Time, txn: &mut Txn, flying: &mut Flying) -> bool {
+        let key = self.pages.fresh_key();
+        let most_bytes = txn.value_left(key.len()).min(self.value_limit);
+        // A condition stays for each write that may follow: a page that took
+        // them all left a transaction that was refused as too large, for ever.
+        let keep = txn.writes_left();
         let mut rows: Vec<Row> = Vec::new();
-        while rows.len() < self.rows_per_page() && txn.conditions() < max_when {
+        while rows.len() < blocks::rows_per_page(most_bytes) && txn.conditions_left() > keep {
             let Some((machine, task)) = self.plans.pop_front() else { break };
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let stamp = job.stamp;
@@ -267,65 +306,163 @@
             if e.state != State::Planned || e.flying {
                 continue;
             }
-            e.flying = true;
-            rows.push(Row { machine, task, attempt: e.attempt });
             // Guard 2: a placement rests on its job being neither cancelled
             // nor done.
-            txn.when(jobs::key(task.job), stamp);
+            if txn.when(jobs::key(task.job), stamp).is_err() {
+                self.plans.push_front((machine, task));
+                break;
+            }
+            if let Some(e) = self.entry(machine, task) {
+                e.flying = true;
+                rows.push(Row { machine, task, attempt: e.attempt });
+            }
         }
         if rows.is_empty() {
             return false;
         }
         let mut value = blocks::encode_page(&rows);
         // Longer names than usual: fewer rows fit.
-        while wire::json_len(&value) > self.value_limit && rows.len() > 1 {
-            for row in rows.split_off(rows.len() / 2).into_iter().rev() {
-                if let Some(e) = self.entry(row.machine, row.task) {
-                    e.flying = false;
-                }
-                self.plans.push_front((row.machine, row.task));
-            }
+        while wire::json_len(&value) > most_bytes && rows.len() > 1 {
+            let rest = rows.split_off(rows.len() / 2);
+            self.not_placed(rest);
             value = blocks::encode_page(&rows);
         }
-        let key = self.pages.fresh_key();
-        txn.write(key.clone(), Stamp(0), value, None);
-        flying.pages.push((key, rows));
+        match txn.write(key.clone(), Stamp(0), value, None) {
+            Ok(()) => flying.pages.push((key, rows)),
+            Err(Full::Never { bytes, limit }) => {
+                tracing::error!("a page of one row takes {bytes} bytes of {limit}");
+                let jobs: BTreeSet<JobId> = rows.iter().map(|r| r.task.job).collect();
+                self.not_placed(rows);
+                jobs.into_iter().for_each(|job| self.rest_job(now, job));
+                return false;
+            }
+            Err(_) => {
+                self.not_placed(rows);
+                return false;
+            }
+        }
         true
     }
 
-    /// Removals wait until writes are to spare: they only tidy up.
+    /// Rows that did not go out are planned as before, in the same order.
+    fn not_placed(&mut self, rows: Vec<Row>) {
+        for row in rows.into_iter().rev() {
+            let Some(e) = self.entry(row.machine, row.task) else { continue };
+            if e.attempt == row.attempt && e.state == State::Planned {
+                e.flying = false;
+                self.plans.push_front((row.machine, row.task));
+            }
+        }
+    }
+
+    /// A job whose placement the state service does not take waits, so that
+    /// the others go on.
+    fn rest_job(&mut self, now: Time, id: JobId) {
+        self.unplan_job(now, id);
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.hold_until = now.plus(ASIDE_S);
+        }
+    }
+
+    fn add_shelves(&mut self, now: Time, txn: &mut Txn, flying: &mut Flying) {
+        if now.since(self.shelved_at) < SHELVE_S {
+            return;
+        }
+        let due: Vec<usize> =
+            self.shelves.due().filter(|s| !self.resting(Part::Shelf(*s))).collect();
+        // After the one written last, so that many full ones all get their turn.
+        let (before, after): (Vec<usize>, Vec<usize>) =
+            due.into_iter().partition(|s| *s <= self.last_shelf);
+        for shelf in after.into_iter().chain(before) {
+            let key = progress::shelf_key(shelf);
+            if txn.writes_left() == 0 || txn.value_left(key.len()) < self.value_limit {
+                return;
+            }
+            let stamp = self.shelves.stamp(shelf);
+            let mut one = Shelved::default();
+            let Some(value) = self.shelves.send(shelf, &mut one, &mut self.jobs) else { continue };
+            match txn.write(key, stamp, value, None) {
+                Ok(()) => {
+                    flying.shelved.append(one);
+                    (self.shelved_at, self.last_shelf) = (now, shelf);
+                }
+                Err(full) => {
+                    self.shelves.unwritten(&one, &mut self.jobs);
+                    if full != Full::Now {
+                        tracing::error!("shelf {shelf} cannot be written: {full}");
+                        self.aside.insert(Part::Shelf(shelf), now.plus(ASIDE_S));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Removals wait until writes are to spare: they only tidy up. A crowd of
+    /// dead pages, as after a takeover, goes at a part of the rate, so that
+    /// placing does not wait behind it.
     fn clean_up(
         &mut self,
         now: Time,
         ledger: &mut Ledger<Tag>,
         txn: &mut Txn,
-        max_puts: usize,
         flying: &mut Flying,
     ) {
         let (level, rate) = ledger.writes_left(now);
-        let spare = (level - txn.puts() as f64 - rate * 0.4).max(0.0) as usize;
-        let crowded = self.pages.dead_count().saturating_sub(DEAD_PAGES);
-        let mut room = max_puts.saturating_sub(txn.puts()).min(spare.max(crowded));
-        for (no, key, stamp) in self.pages.dead().take(room) {
-            txn.delete(key, stamp);
+        let spare = (level - txn.writes() as f64 - rate * 0.4).max(0.0) as usize;
+        let due = (now.since(self.cleaned_at) * rate * CROWD_PART).min(rate) as usize;
+        let crowded = self.pages.dead_count().saturating_sub(DEAD_PAGES).min(due);
+        let mut room = txn.writes_left().min(spare.max(crowded));
+        let dead = self.pages.dead().filter(|(no, _, _)| !self.resting(Part::Page(*no)));
+        for (no, key, stamp) in dead.take(room) {
+            if txn.delete(key, stamp).is_err() {
+                break;
+            }
             flying.dead.push(no);
         }
-        room -= flying.dead.len();
+        room = room.saturating_sub(flying.dead.len());
         let empty: Vec<usize> = self.shelves.empty().take(room).collect();
         for shelf in empty {
-            txn.delete(progress::shelf_key(shelf), self.shelves.stamp(shelf));
-            flying.shelved.remove(shelf);
-            room -= 1;
+            if txn.delete(progress::shelf_key(shelf), self.shelves.stamp(shelf)).is_ok() {
+                flying.shelved.remove(shelf);
+                room -= 1;
+            }
         }
         if room > 0 {
             let open = |id: JobId| self.jobs.contains_key(&id);
             let keys: Vec<(String, Stamp)> =
                 self.shelves.outdated(&open).take(room).map(|(k, s)| (k.clone(), s)).collect();
             for (key, stamp) in keys {
-                txn.delete(key.clone(), stamp);
-                flying.shelved.clean(key);
+                if txn.delete(key.clone(), stamp).is_ok() {
+                    flying.shelved.clean(key);
+                }
             }
         }
+        if !flying.dead.is_empty() {
+            self.cleaned_at = now;
+        }
+    }
+
+    /// What the state service keeps refusing, at the smallest size, rests and
+    /// is named, so that the rest goes on.
+    fn set_aside(&mut self, now: Time, flying: &Flying) {
+        let until = now.plus(ASIDE_S);
+        for id in &flying.finals {
+            tracing::error!("the end of {id} is refused as malformed and waits");
+            self.aside.insert(Part::Job(*id), until);
+        }
+        let placed: BTreeSet<JobId> =
+            flying.pages.iter().flat_map(|(_, rows)| rows).map(|r| r.task.job).collect();
+        for id in placed {
+            tracing::error!("placing {id} is refused as malformed; it waits");
+            self.rest_job(now, id);
+        }
+        for shelf in flying.shelved.written_shelves() {
+            tracing::error!("shelf {shelf} is refused as malformed and waits");
+            self.aside.insert(Part::Shelf(shelf), until);
+        }
+        for no in &flying.dead {
+            self.aside.insert(Part::Page(*no), until);
+        }
     }
 
     pub fn on_reply(
@@ -348,6 +485,8 @@
                     self.reload();
                     return Verdict::Fine;
                 };
+                self.course.succeeded();
+                self.moved = now;
                 self.committed(now, flying, Stamp(done.rev), book);
                 Verdict::Confirmed(sent)
             }
@@ -372,7 +511,20 @@
             }
             Outcome::Refused => {
                 self.not_committed(now, flying);
-                self.retry_at = now.plus(0.15);
+                self.course.busy(now);
+                Verdict::Fine
+            }
+            // The same again would be refused again: less of it is tried, and
+            // in the end what it holds is set aside.
+            Outcome::Malformed => {
+                let aside = self.course.malformed(now) == Next::Aside;
+                if aside {
+                    self.set_aside(now, &flying);
+                }
+                self.not_committed(now, flying);
+                if aside {
+                    self.course.succeeded();
+                }
                 Verdict::Fine
             }
             // Whether it was or will be applied is unknown: read again.
@@ -434,14 +586,7 @@
 
     fn not_committed(&mut self, now: Time, flying: Flying) {
         for (_, rows) in flying.pages.into_iter().rev() {
-            for row in rows.into_iter().rev() {
-                if let Some(e) = self.entry(row.machine, row.task) {
-                    if e.attempt == row.attempt && e.state == State::Planned {
-                        e.flying = false;
-                        self.plans.push_front((row.machine, row.task));
-                    }
-                }
-            }
+            self.not_placed(rows);
         }
         self.shelves.unwritten(&flying.shelved, &mut self.jobs);
         for id in flying.finals {
@@ -452,3 +597,202 @@
         self.retry_at = now.plus(0.05);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ledger::Ledger;
+    use beamhinge_limits::Limits;
+    use beamhinge_vocab::messages::Out;
+    use proptest::prelude::*;
+    use serde_json::json;
+
+    /// What a controller finds to write at some moment.
+    #[derive(Clone, Debug)]
+    struct Backlog {
+        /// Tasks of jobs that wait for their page, by job.
+        placed: Vec<u32>,
+        /// Tasks of jobs that are complete.
+        ended: Vec<u32>,
+        dead: usize,
+        /// Digits in the names of jobs and machines.
+        digits: usize,
+        /// Transactions that the service calls malformed before it takes any.
+        malformed: u32,
+    }
+
+    fn backlog() -> impl Strategy<Value = Backlog> {
+        let jobs = |most| prop::collection::vec(1..most, 0..40usize);
+        (jobs(60u32), jobs(9_000u32), 0..600usize, 6..18usize, 0..8u32).prop_map(
+            |(placed, ended, dead, digits, malformed)| Backlog {
+                placed,
+                ended,
+                dead,
+                digits,
+                malformed,
+            },
+        )
+    }
+
+    fn spec(tasks: u32) -> Rc<JobSpec> {
+        let body = json!({"c": "class", "o": "one", "k": "batch", "u": "standard", "n": tasks,
+            "cpu": 1.0, "gpu": 0.0, "mem": 1.0, "img": "i", "igb": 1.0, "oz": false, "ap": false,
+            "sp": true, "ex": 5.0, "ce": 0.0, "cs": 0.0, "at": 0});
+        Rc::new(serde_json::from_value(body).expect("a description"))
+    }
+
+    fn fill(place: &mut Placement, b: &Backlog, now: Time) {
+        let w = b.digits;
+        let chunk = progress::chunk_size(place.value_limit);
+        let mut number = 0;
+        let mut id = || {
+            number += 1;
+            JobId::parse(&format!("job-{number:0w$}")).expect("a job")
+        };
+        for tasks in &b.placed {
+            let job = id();
+            place.jobs.insert(job, new_job(spec(*tasks), Stamp(7), chunk, now));
+            for index in 0..*tasks {
+                let name = format!("n-{:0w$}", index * 7 % 50);
+                let machine = MachineId::parse(&name).expect("a machine");
+                let task = TaskId { job, index };
+                place.next_attempt += 1;
+                let entry = Entry {
+                    attempt: Attempt(place.next_attempt),
+                    need: Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 },
+                    team: None,
+                    state: State::Planned,
+                    kill: None,
+                    flying: false,
+                    started: None,
+                    inherited: false,
+                    page: None,
+                    placed: now,
+                    ahead: None,
+                };
+                let m = place.machines.entry(machine).or_insert_with(|| Machine::new(now));
+                m.entries.insert(task, entry);
+                place.plans.push_back((machine, task));
+            }
+        }
+        for tasks in &b.ended {
+            let job = id();
+            place.jobs.insert(job, new_job(spec(*tasks), Stamp(7), chunk, now));
+            for index in 0..*tasks {
+                place.mark_done(TaskId { job, index });
+            }
+        }
+        for n in 0..b.dead {
+            place.pages.add(format!("p/1-{n}"), Stamp(3));
+        }
+    }
+
+    /// Counts a body anew, without the code that built it.
+    fn within(body: &[u8], limits: Limits) -> Result<(), String> {
+        let txn: serde_json::Value = wire::decode::<ciborium::Value>(body)
+            .ok()
+            .and_then(|v| v.deserialized().ok())
+            .ok_or("not CBOR")?;
+        let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+        let (when, then) = (list("when"), list("then"));
+        let longest = then.iter().map(|t| t["value"].to_string().len()).max().unwrap_or(0);
+        let sizes = (then.len(), when.len(), txn.to_string().len(), longest);
+        let most = (limits.writes, limits.conditions, limits.bytes, limits.value);
+        if sizes.0 > most.0 || sizes.1 > most.1 || sizes.2 > most.2 || sizes.3 > most.3 {
+            return Err(format!("{sizes:?} where {most:?} are allowed"));
+        }
+        Ok(())
+    }
+
+    /// Plays the state service until nothing is left to write.
+    fn work_off(b: &Backlog, txn_ops: usize, value_kb: f64) -> Result<u32, String> {
+        let mut settings =
+            Settings::parse("t", beamhinge_vocab::settings::SAMPLE).expect("the sample is sound");
+        settings.params.state.txn_ops = txn_ops;
+        settings.params.state.value_kb = value_kb;
+        let limits = Limits::of(&settings.params.state);
+        let mut now = Time::from_micros(1_000_000);
+        let mut ledger: Ledger<Tag> = Ledger::new(&settings);
+        let standing = Rc::default();
+        let mut place = Placement::new(&settings, Token(9), standing, Chronicle::new(false), now);
+        place.loaded = true;
+        fill(&mut place, b, now);
+        let (mut book, mut calls, mut rev) = (JobBook::default(), 0, 100);
+        let mut refuse = b.malformed;
+        for round in 0..20_000 {
+            now = now.plus(0.3);
+            place.commit(now, &mut ledger);
+            let mut out = Vec::new();
+            ledger.pump(now, &mut calls, &mut out);
+            for o in out {
+                let Out::Call { id, body, .. } = o else { continue };
+                within(&body, limits)?;
+                rev += 1;
+                let reply = if refuse > 0 {
+                    refuse -= 1;
+                    (400, wire::encode(&json!({"error": "too many operations"})))
+                } else {
+                    (200, wire::encode(&json!({ "ledgerRev": rev })))
+                };
+                let reply = ledger.on_reply(id, Some(reply)).ok_or("no such call")?;
+                place.on_reply(now, PlaceCall::Commit, reply, &mut book);
+            }
+            let left = place.plans.len()
+                + place.complete.len()
+                + place.shelves.due().count()
+                + place.pages.dead_count().saturating_sub(DEAD_PAGES);
+            if left == 0 && place.flying.is_none() {
+                return Ok(round);
+            }
+        }
+        Err(format!("{} plans, {} ends left", place.plans.len(), place.complete.len()))
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 48,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(19),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+        /// Guards against a transaction that is refused as too large and built
+        /// again alike, for ever: nothing started or ended for the rest of a day.
+        #[test]
+        fn no_transaction_is_too_large_and_every_backlog_is_worked_off(
+            b in backlog(),
+            txn_ops in 2..40usize,
+            value_kb in prop_oneof![Just(0.5), 0.5..4.0f64, Just(8.0), Just(32.0)],
+        ) {
+            let done = work_off(&b, txn_ops, value_kb);
+            prop_assert!(done.is_ok(), "{done:?}");
+        }
+    }
+
+    /// A hundred jobs, each with a condition of its own, beside as many pages to
+    /// remove as a transaction may: what stopped a simulated day for ever.
+    #[test]
+    fn pages_leave_conditions_for_removals() {
+        let b = Backlog {
+            placed: vec![1; 400],
+            ended: vec![3; 30],
+            dead: 400,
+            digits: 6,
+            malformed: 0,
+        };
+        work_off(&b, 24, 8.0).expect("worked off");
+    }
+
+    #[test]
+    fn ten_thousand_dead_pages_do_not_keep_a_task_waiting() {
+        let b = Backlog {
+            placed: vec![20; 10],
+            ended: Vec::new(),
+            dead: 10_000,
+            digits: 6,
+            malformed: 0,
+        };
+        assert!(work_off(&b, 2, 8.0).expect("worked off") > 100);
+        let only = Backlog { dead: 0, ..b };
+        assert!(work_off(&only, 2, 8.0).expect("worked off") < 40);
+    }
+}
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -11,9 +11,10 @@
 use crate::directives::Standing;
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::leader::BLOCK;
-use crate::ledger::{Committed, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
+use crate::ledger::{Committed, Full, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
 use crate::progress::{self, Open, Progress, Shelved, Shelves};
 use crate::split::{Demand, Need, Shape, EPSILON};
+use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
 use beamhinge_vocab::messages::Counts;
@@ -305,6 +306,14 @@
     dead: Vec<PageNo>,
 }
 
+/// A part of the work that can be set aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    Job(JobId),
+    Shelf(usize),
+    Page(PageNo),
+}
+
 struct Load {
     pages: Vec<Item>,
     progress: Vec<Item>,
@@ -364,6 +373,16 @@
     stopped: bool,
     flying: Option<Flying>,
     retry_at: Time,
+    /// How a refused transaction is tried again.
+    course: Course,
+    /// Set aside, and until when.
+    aside: BTreeMap<Part, Time>,
+    /// Whose turn it is where few writes fit.
+    turn: usize,
+    last_shelf: usize,
+    cleaned_at: Time,
+    /// When the books last moved: a commit or a reply to a load.
+    moved: Time,
     planned_at: Time,
     silence_at: Time,
     replan: bool,
@@ -412,6 +431,12 @@
             stopped: false,
             flying: None,
             retry_at: Time::default(),
+            course: Course::new(0.15, 4.0),
+            aside: BTreeMap::new(),
+            turn: 0,
+            last_shelf: 0,
+            cleaned_at: now,
+            moved: now,
             planned_at: Time::default(),
             silence_at: Time::default(),
             replan: true,
@@ -429,10 +454,6 @@
         }
     }
 
-    fn rows_per_page(&self) -> usize {
-        blocks::rows_per_page(self.value_limit)
-    }
-
     fn team(&self, spec: &JobSpec) -> Option<usize> {
         self.team_names.iter().position(|n| **n == *spec.team)
     }
@@ -604,7 +625,8 @@
             return;
         }
         if let Some(spec) = &entry.spec {
-            self.jobs.insert(id, new_job(spec.clone(), entry.stamp, now));
+            let chunk = progress::chunk_size(self.value_limit);
+            self.jobs.insert(id, new_job(spec.clone(), entry.stamp, chunk, now));
         }
     }
 
@@ -721,12 +743,12 @@
     }
 }
 
-fn new_job(spec: Rc<JobSpec>, stamp: Stamp, now: Time) -> Job {
+fn new_job(spec: Rc<JobSpec>, stamp: Stamp, chunk: u32, now: Time) -> Job {
     Job {
         spec,
         stamp,
         state: JobState::Open,
-        progress: Progress::default(),
+        progress: Progress::new(chunk),
         next_fresh: 0,
         retry: BTreeMap::new(),
         live: BTreeMap::new(),
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -176,7 +176,7 @@
             team_used: vec![(0.0, 0.0); self.teams.len()],
             zones: BTreeMap::new(),
             // No more than the next few transactions can carry.
-            budget: (self.rows_per_page() * 4).saturating_sub(self.plans.len()),
+            budget: (blocks::rows_per_page(self.value_limit) * 4).saturating_sub(self.plans.len()),
             soon: None,
         };
         for (id, m) in &self.machines {
--- a/crates/controller/src/progress.rs
+++ b/crates/controller/src/progress.rs
@@ -11,20 +11,31 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Tasks per progress chunk: 8,192 bits are 2,048 hexadecimal digits.
-pub const CHUNK: u32 = 8_192;
+/// Most tasks of a chunk: 8,192 bits are 2,048 hexadecimal digits.
+const CHUNK: u32 = 8_192;
+/// Tasks of a chunk where values are tiny.
+const LEAST_CHUNK: u32 = 64;
 const SHELF_VERSION: u32 = 2;
 /// JSON length of a shelf's frame and of an item without its digits.
 const FRAME_BYTES: usize = 64;
 const ITEM_BYTES: usize = 34;
 
 /// Which tasks of a job are done, in chunks that are stored one by one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Progress {
+    /// Tasks per chunk.
+    size: u32,
     chunks: BTreeMap<u32, Chunk>,
     count: u32,
 }
 
+/// Tasks per chunk, so that one always fits a value of this length. It is part
+/// of what is stored: the same for all controllers of a deployment.
+pub fn chunk_size(value_limit: usize) -> u32 {
+    let digits = value_limit.saturating_sub(FRAME_BYTES + ITEM_BYTES);
+    (digits as u32 * 4 / 8 * 8).clamp(LEAST_CHUNK, CHUNK)
+}
+
 #[derive(Clone, Debug, Default)]
 struct Chunk {
     bits: Vec<u8>,
@@ -33,12 +44,21 @@
 }
 
 impl Progress {
+    pub fn new(size: u32) -> Progress {
+        Progress { size, chunks: BTreeMap::new(), count: 0 }
+    }
+
+    /// The first task of a chunk.
+    pub fn first_of(&self, chunk: u32) -> u32 {
+        chunk * self.size
+    }
+
     pub fn count(&self) -> u32 {
         self.count
     }
 
     pub fn has(&self, index: u32) -> bool {
-        let (chunk, at) = (index / CHUNK, index % CHUNK);
+        let (chunk, at) = (index / self.size, index % self.size);
         let byte = self.chunks.get(&chunk).and_then(|c| c.bits.get((at / 8) as usize));
         byte.is_some_and(|b| b & (1 << (at % 8)) != 0)
     }
@@ -47,7 +67,7 @@
         if self.has(index) {
             return;
         }
-        let (chunk, at) = (index / CHUNK, (index % CHUNK) as usize);
+        let (chunk, at) = (index / self.size, (index % self.size) as usize);
         let c = self.chunks.entry(chunk).or_default();
         if c.bits.len() <= at / 8 {
             c.bits.resize(at / 8 + 1, 0);
@@ -61,7 +81,8 @@
 
     /// Whether the state service knows that this task is done.
     pub fn durable(&self, index: u32) -> bool {
-        self.has(index) && self.chunks.get(&(index / CHUNK)).is_some_and(|c| !c.dirty && !c.flying)
+        self.has(index)
+            && self.chunks.get(&(index / self.size)).is_some_and(|c| !c.dirty && !c.flying)
     }
 
     pub fn dirty(&self) -> impl Iterator<Item = u32> + '_ {
@@ -153,6 +174,8 @@
 /// Where each job's progress is kept, and what has to be written.
 pub struct Shelves {
     limit: usize,
+    /// Tasks per chunk.
+    chunk: u32,
     shelves: Vec<Shelf>,
     home: BTreeMap<Item, usize>,
     /// Keys of the form before, to be removed when their job is over.
@@ -173,6 +196,15 @@
         self.removed.push(shelf);
     }
 
+    /// Another shelf of the same transaction.
+    pub fn append(&mut self, mut other: Shelved) {
+        self.written.append(&mut other.written);
+    }
+
+    pub fn written_shelves(&self) -> impl Iterator<Item = usize> + '_ {
+        self.written.iter().map(|(shelf, _)| *shelf)
+    }
+
     /// So does a key of the form before.
     pub fn clean(&mut self, key: String) {
         self.cleaned.push(key);
@@ -180,8 +212,8 @@
 }
 
 /// Most that one chunk of a job takes on a shelf.
-fn item_bytes(chunk: u32, tasks: u32) -> usize {
-    let bits = tasks.saturating_sub(chunk * CHUNK).min(CHUNK) as usize;
+fn item_bytes(size: u32, chunk: u32, tasks: u32) -> usize {
+    let bits = tasks.saturating_sub(chunk * size).min(size) as usize;
     ITEM_BYTES + bits.div_ceil(8) * 2
 }
 
@@ -193,6 +225,7 @@
     pub fn new(value_limit: usize) -> Shelves {
         Shelves {
             limit: value_limit.saturating_sub(FRAME_BYTES),
+            chunk: chunk_size(value_limit),
             shelves: Vec::new(),
             home: BTreeMap::new(),
             old: BTreeMap::new(),
@@ -201,11 +234,11 @@
 
     /// A task of this chunk is newly done: its shelf has to be written.
     pub fn touch(&mut self, job: JobId, index: u32, tasks: u32) {
-        let item = (job, index / CHUNK);
+        let item = (job, index / self.chunk);
         let shelf = match self.home.get(&item) {
             Some(shelf) => *shelf,
             None => {
-                let bytes = item_bytes(item.1, tasks);
+                let bytes = item_bytes(self.chunk, item.1, tasks);
                 let free = |s: &Shelf| s.bytes + bytes <= self.limit;
                 let shelf = match self.shelves.iter().position(free) {
                     Some(shelf) => shelf,
@@ -360,7 +393,7 @@
                 if self.home.contains_key(&item) {
                     continue;
                 }
-                let bytes = item_bytes(item.1, tasks);
+                let bytes = item_bytes(self.chunk, item.1, tasks);
                 self.settle(item, shelf, bytes);
             }
             return Ok(());
@@ -395,7 +428,7 @@
 
     impl Jobs {
         fn of(&mut self, n: u32) -> &mut Progress {
-            self.jobs.entry(job(n)).or_default()
+            self.jobs.entry(job(n)).or_insert_with(|| Progress::new(CHUNK))
         }
     }
 
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,14 @@
+//! Limits kept by construction, and retries that change.
+//!
+//! The state service takes transactions of a certain size only (source: the
+//! platform's protocol, `POST /commit`). A [`Txn`] knows these limits from the
+//! settings and does not take what does not fit, so that no slice computes a
+//! bound of its own and none can build what will be refused. A [`Course`] says
+//! how the same work is tried again after a refusal: smaller each time, later
+//! each time, and in the end not at all by this controller.
+
+mod course;
+mod txn;
+
+pub use course::{Course, Next};
+pub use txn::{Full, Limits, Txn};
--- a/crates/vocab/src/types.rs
+++ b/crates/vocab/src/types.rs
@@ -67,6 +67,9 @@
     width: u8,
 }
 
+/// Names that a row may stand for.
+const MOST_IN_A_ROW: u64 = 100_000;
+
 fn digits(text: &str) -> Option<(u64, u8)> {
     if text.is_empty() || text.len() > 18 || !text.bytes().all(|b| b.is_ascii_digit()) {
         return None;
@@ -95,6 +98,17 @@
     pub fn number(self) -> u64 {
         self.number
     }
+    /// The name that follows, of the same length.
+    pub fn next(self) -> MachineId {
+        MachineId { number: self.number + 1, width: self.width }
+    }
+    /// All names from this one to `last`; bounded, and none when they differ in
+    /// length.
+    pub fn row_to(self, last: MachineId) -> impl Iterator<Item = MachineId> {
+        let to = if self.width == last.width { last.number + 1 } else { 0 };
+        let to = to.min(self.number.saturating_add(MOST_IN_A_ROW));
+        (self.number..to).map(move |number| MachineId { number, width: self.width })
+    }
 }
 
 impl fmt::Display for MachineId {
