--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -6,6 +6,16 @@
 /// How long nothing is recorded after a rental that could not be.
 const RECORD_PAUSE_S: f64 = 5.0;
 
+/// The fault of old: silent is dead, as long as more are heard than silent.
+#[cfg(feature = "faults")]
+fn hastily(seen: &[Seen], limit_s: f64) -> beamhinge_suspicion::Look {
+    let silent = |s: &&Seen| s.quiet_s > limit_s;
+    let few = seen.iter().filter(silent).count() * 2 < seen.len();
+    let find = |s: &Seen| if few && silent(&s) { Finding::Silent } else { Finding::Heard };
+    let findings = seen.iter().map(|s| (s.id, find(s))).collect();
+    beamhinge_suspicion::Look { findings, ..Default::default() }
+}
+
 /// Names in a row, first and last of each.
 fn spans(machines: impl Iterator<Item = MachineId>) -> Vec<(String, String)> {
     let mut rows: Vec<(MachineId, MachineId)> = Vec::new();
@@ -87,7 +97,7 @@
         self.retry_at = now.plus(RECORD_PAUSE_S);
     }
 
-    pub(super) fn take_list(&mut self, now: Time, list: HostList, shapes: &[Shape]) {
+    pub(super) fn take_list(&mut self, now: Time, lag_s: f64, list: HostList, shapes: &[Shape]) {
         for row in &list.hosts {
             let Some(id) = MachineId::parse(&row.name_id) else { continue };
             if self.released.contains_key(&id) {
@@ -109,6 +119,7 @@
                 listed: None,
                 endpoint,
                 owned: false,
+                missing: 0,
                 release: Release::No,
             });
             // The list may step back: a machine that ran does not start again.
@@ -134,7 +145,66 @@
                 }
             }
             self.released.retain(|_, t| now.since(*t) < 120.0);
+            // A list shows all that was rented before it was made, and none is
+            // older than twice the lag.
+            for i in self.instances.values_mut() {
+                let named = i.listed.is_some_and(|at| at >= self.pass_began);
+                let old = self.pass_began.since(i.rented) > lag_s * 2.0 + 2.0;
+                i.missing = if named || !old { 0 } else { i.missing + 1 };
+            }
+        }
+    }
+
+    /// What this controller sees of each machine that was up, for the judgement
+    /// of groups.
+    fn seen(
+        &mut self,
+        now: Time,
+        shapes: &[Shape],
+        settings: &Settings,
+        senses: &Senses,
+        place: &mut Placement,
+    ) -> Vec<Seen> {
+        let lease_s = settings.params.workers.lease_s;
+        let limit_s = bounds(settings).limit_s;
+        let mut seen = Vec::new();
+        for (id, i) in &mut self.instances {
+            let m = place.machine(*id);
+            let heard = m.and_then(|m| m.heard);
+            let was_up = m.is_some_and(|m| !m.is_empty()) || i.status == Status::Running;
+            // It reports again: the return is called off while it can be.
+            if i.release == Release::Silent && heard.is_some_and(|h| now.since(h) < limit_s / 2.0) {
+                tracing::info!("{id} reports again and is kept");
+                i.release = Release::No;
+                place.undrain(*id);
+            }
+            if i.release != Release::No {
+                continue;
+            }
+            let boot_s = shapes.get(i.shape).map_or(60.0, |s| s.boot_s);
+            let from = match heard {
+                Some(h) => h,
+                // After a takeover, what was up and does not report to us has
+                // been silent since then; it is given time to find us.
+                None if was_up => place.took().plus(2.0).max(i.rented.plus(boot_s)),
+                None => continue,
+            };
+            let mut quiet_s = now.since(senses.presence.counts_from(from));
+            // Not rented by us: given back only when it is surely dead.
+            if i.owned && quiet_s < lease_s * 4.0 {
+                quiet_s = quiet_s.min(limit_s);
+            }
+            let zones = &settings.params.zones;
+            seen.push(Seen {
+                id: *id,
+                zone: zones.iter().position(|z| *z == i.zone).unwrap_or(zones.len()),
+                kind: i.shape,
+                quiet_s,
+                elsewhere_s: senses.elsewhere.since(now, *id),
+                unlisted: i.missing >= 2,
+            });
         }
+        seen
     }
 
     /// Finds machines that failed, never came up, vanished or fell silent.
@@ -144,29 +214,34 @@
         lag_s: f64,
         shapes: &[Shape],
         settings: &Settings,
+        senses: &Senses,
         place: &mut Placement,
     ) {
         let lease_s = settings.params.workers.lease_s;
         let report_s = settings.params.workers.report_s;
-        let limit = (lease_s * 0.55).max(report_s * 3.0);
-        // After a takeover, a machine that held tasks but never reports to us
-        // has been silent since then.
-        let silent = |id: &MachineId| {
-            let m = place.machine(*id)?;
-            let since = m.heard.or((!m.is_empty()).then_some(place.took()))?;
-            Some(now.since(since))
-        };
-        let known = self.instances.iter().filter(|(_, i)| i.release == Release::No);
-        let (mut heard, mut quiet) = (0u32, 0u32);
-        for (id, _) in known {
-            match silent(id) {
-                Some(s) if s > limit => quiet += 1,
-                Some(_) => heard += 1,
-                None => {}
+        let seen = self.seen(now, shapes, settings, senses, place);
+        let look = self.suspicion.look(now, place.overdue_s(), &seen);
+        #[cfg(feature = "faults")]
+        let look = if self.hasty { hastily(&seen, bounds(settings).limit_s) } else { look };
+        self.link = look.link;
+        self.tell_groups(settings, shapes, look.groups);
+        let mut given_up: BTreeMap<MachineId, &'static str> = BTreeMap::new();
+        self.shielded.clear();
+        for (s, (id, finding)) in seen.iter().zip(&look.findings) {
+            match finding {
+                Finding::Silent => {
+                    given_up.insert(*id, "silent");
+                }
+                Finding::Gone => {
+                    given_up.insert(*id, "gone from the list");
+                }
+                Finding::Shielded(_) | Finding::Elsewhere | Finding::Waiting => {
+                    let since = self.suspicion.suspected_s(now, s.zone, s.kind);
+                    self.shielded.insert(*id, since.unwrap_or(0.0));
+                }
+                Finding::Heard | Finding::Overdue => {}
             }
         }
-        // When most are silent, it is more likely we who cannot hear.
-        let trust = heard > quiet || (heard + quiet) <= 2 && heard >= quiet;
         let mut out = Vec::new();
         for (id, i) in &mut self.instances {
             if i.release != Release::No {
@@ -176,9 +251,10 @@
             let boot = shapes.get(i.shape).map_or(60.0, |s| s.boot_s);
             let m = place.machine(*id);
             let never = m.and_then(|m| m.heard).is_none();
-            // What our books have tasks on was up under an earlier holder: if it
-            // does not report it is silent, and may yet wake.
-            let was_up = m.is_some_and(|m| !m.is_empty());
+            // What our books have tasks on, or the list calls running, was up
+            // under an earlier holder: if it does not report it is silent, and
+            // may yet wake.
+            let was_up = m.is_some_and(|m| !m.is_empty()) || i.status == Status::Running;
             let gone_from_list = match i.listed {
                 Some(t) => now.since(t) > lag_s * 2.0 + 4.0,
                 None => now.since(i.rented.max(self.began)) > lag_s * 3.0 + 6.0,
@@ -195,19 +271,13 @@
                 "never came up"
             } else if never && gone_from_list {
                 "vanished from the list"
-            } else if trust
-                && silent(id).is_some_and(|s| s > limit)
-                && now.since(place.took()) > limit + 2.0
-            {
-                "silent"
+            } else if let Some(why) = given_up.get(id) {
+                why
             } else {
                 continue;
             };
-            if i.owned && why == "silent" && silent(id).is_some_and(|s| s < lease_s * 4.0) {
-                continue;
-            }
             tracing::info!("returning {id}: {why}");
-            i.release = Release::Wanted;
+            i.release = if why == "silent" { Release::Silent } else { Release::Wanted };
             out.push((*id, why));
         }
         for (id, why) in out {
@@ -235,9 +305,29 @@
                     listed: None,
                     endpoint,
                     owned: false,
+                    missing: 0,
                     release: Release::No,
                 },
             );
         }
     }
+
+    /// One line when a group falls silent, one when it is heard again.
+    fn tell_groups(&mut self, settings: &Settings, shapes: &[Shape], groups: Vec<(Group, f64)>) {
+        let name = |g: &Group| match g {
+            Group::Ours => "our own link".to_string(),
+            Group::Zone(z) => {
+                format!("zone {}", settings.params.zones.get(*z).map_or("?", String::as_str))
+            }
+            Group::Kind(k) => format!("type {}", shapes.get(*k).map_or("?", |s| &s.label)),
+        };
+        let known = |list: &[(Group, f64)], g: &Group| list.iter().any(|(o, _)| o == g);
+        for (g, _) in groups.iter().filter(|(g, _)| !known(&self.groups, g)) {
+            tracing::warn!("silent together, taken for a broken link: {}", name(g));
+        }
+        for (g, s) in self.groups.iter().filter(|(g, _)| !known(&groups, g)) {
+            tracing::info!("heard again after {s:.0} s: {}", name(g));
+        }
+        self.groups = groups;
+    }
 }
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
+use beamhinge_suspicion::{Bounds, Finding, Group, Hearsay, Link, Presence, Seen, Suspicion};
 use beamhinge_vocab::http::Method;
 use beamhinge_vocab::messages::{Dest, Out};
 use beamhinge_vocab::settings::{Operator, Settings};
@@ -38,6 +39,17 @@
 const ORDINARY_IDLE_S: f64 = 8.0;
 const MOST_PER_RELEASE: usize = 100;
 
+/// How long silence is borne, by the settings.
+fn bounds(settings: &Settings) -> Bounds {
+    let w = &settings.params.workers;
+    Bounds {
+        limit_s: (w.lease_s * 0.55).max(w.report_s * 3.0),
+        shield_s: w.lease_s * 4.0,
+        // A worker that nobody answers tries each controller in turn.
+        word_s: 8.0_f64.max(w.report_s * 1.5),
+    }
+}
+
 #[derive(Deserialize)]
 struct Flavors {
     shapes: Vec<Flavor>,
@@ -125,9 +137,20 @@
     endpoint: Option<SocketAddrV4>,
     /// Not rented by the service: it was there before us and stays.
     owned: bool,
+    /// Complete lists in a row that do not name it, though they must.
+    missing: u32,
     release: Release,
 }
 
+/// What the controller knows of itself when it judges others.
+pub struct Senses<'a> {
+    pub presence: &'a Presence,
+    /// What peers hear.
+    pub elsewhere: &'a Hearsay,
+    /// The state service confirmed lately that we hold the block.
+    pub acting: bool,
+}
+
 /// The drain that a machine of the cloud's is under.
 fn drain_of<'a>(
     id: MachineId,
@@ -144,7 +167,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Release {
     No,
+    /// Not yet asked for; `Silent` is taken back if the machine reports again.
     Wanted,
+    Silent,
     Flying,
 }
 
@@ -211,6 +236,8 @@
     list_flying: bool,
     list_at: Time,
     list_after: Option<String>,
+    /// When the pass over the list began that is under way.
+    pass_began: Time,
     lists: u32,
     released: BTreeMap<MachineId, Time>,
     retry_at: Time,
@@ -225,6 +252,14 @@
     /// Rentals that an earlier leader recorded: the list may not show them yet.
     inherited: Vec<RentalRow>,
     splits: Splits,
+    suspicion: Suspicion,
+    /// Our link to the machines, at the last look.
+    link: Link,
+    /// Silent together, and for how long their group is suspected, seconds.
+    shielded: BTreeMap<MachineId, f64>,
+    groups: Vec<(Group, f64)>,
+    #[cfg(feature = "faults")]
+    hasty: bool,
 }
 
 pub struct Fleet {
@@ -239,6 +274,8 @@
     calls: BTreeMap<CallId, CloudCall>,
     queue: VecDeque<CloudCall>,
     term: Option<Term>,
+    #[cfg(feature = "faults")]
+    hasty: bool,
 }
 
 impl Fleet {
@@ -255,14 +292,32 @@
             calls: BTreeMap::new(),
             queue: VecDeque::new(),
             term: None,
+            #[cfg(feature = "faults")]
+            hasty: false,
         }
     }
 
+    #[cfg(feature = "faults")]
+    pub fn put_back(&mut self, faults: crate::faults::Faults) {
+        self.hasty = faults.hasty;
+    }
+
     pub fn shapes(&self) -> &[Shape] {
         &self.shapes
     }
 
-    pub fn begin_term(&mut self, now: Time, token: Token, operator: &Operator) {
+    /// How our link to the machines looked last: what is heard here and elsewhere.
+    pub fn link(&self) -> Link {
+        self.term.as_ref().map(|t| t.link).unwrap_or_default()
+    }
+
+    pub fn begin_term(
+        &mut self,
+        now: Time,
+        token: Token,
+        operator: &Operator,
+        settings: &Settings,
+    ) {
         self.queue.clear();
         self.term = Some(Term {
             token,
@@ -277,6 +332,7 @@
             list_flying: false,
             list_at: Time::default(),
             list_after: None,
+            pass_began: Time::default(),
             lists: 0,
             released: BTreeMap::new(),
             retry_at: Time::default(),
@@ -287,6 +343,12 @@
             lately: Vec::new(),
             inherited: Vec::new(),
             splits: Splits::new(operator, token, now),
+            suspicion: Suspicion::new(bounds(settings)),
+            #[cfg(feature = "faults")]
+            hasty: self.hasty,
+            link: Link::default(),
+            shielded: BTreeMap::new(),
+            groups: Vec::new(),
         });
     }
 
@@ -315,6 +377,7 @@
         wall: WallMs,
         operator: &Operator,
         settings: &Settings,
+        senses: &Senses,
         place: Option<&mut Placement>,
         ledger: &mut Ledger<Tag>,
     ) {
@@ -328,10 +391,15 @@
         let (Some(place), Some(term)) = (place, self.term.as_mut()) else { return };
         if !term.list_flying && now.since(term.list_at) > 1.5 && !self.shapes.is_empty() {
             term.list_flying = true;
+            if term.list_after.is_none() {
+                term.pass_began = now;
+            }
             self.queue.push_back(CloudCall::List);
         }
         term.keep_record(now, ledger);
-        if term.record.is_none() || !place.loaded() {
+        // Who is not sure to hold the block rents and returns nothing: a holder
+        // that stood still, or is cut off, would act on what others decided anew.
+        if term.record.is_none() || !place.loaded() || !senses.acting {
             return;
         }
         if now.since(term.decided) > 0.5 {
@@ -339,7 +407,7 @@
             if let Some(runs) = term.splits.runs.take() {
                 place.restore_runs(runs);
             }
-            term.watch_machines(now, self.lag_s, &self.shapes, settings, place);
+            term.watch_machines(now, self.lag_s, &self.shapes, settings, senses, place);
             term.decide(now, wall, self.lag_s, &self.shapes, operator, settings, place);
         }
         term.splits.keep(now, term.token, place.runs(), settings.value_limit(), ledger);
@@ -353,7 +421,10 @@
         // Not after every report: that would cost the whole fleet each time.
         if now.since(term.returned) >= 0.1 && now >= term.retry_at {
             term.returned = now;
-            let wanted = term.instances.iter_mut().filter(|(_, i)| i.release == Release::Wanted);
+            let wanted = term
+                .instances
+                .iter_mut()
+                .filter(|(_, i)| matches!(i.release, Release::Wanted | Release::Silent));
             for (id, i) in wanted.take(MOST_PER_RELEASE) {
                 i.release = Release::Flying;
                 batch.push(*id);
@@ -439,7 +510,7 @@
                 let Some(term) = &mut self.term else { return };
                 term.list_flying = false;
                 match ok.and_then(|b| wire::decode::<HostList>(b).ok()) {
-                    Some(list) => term.take_list(now, list, &self.shapes),
+                    Some(list) => term.take_list(now, self.lag_s, list, &self.shapes),
                     None => {
                         term.list_after = None;
                         term.list_at = now;
@@ -485,6 +556,7 @@
                                 listed: None,
                                 endpoint: None,
                                 owned: false,
+                                missing: 0,
                                 release: Release::No,
                             });
                         }
--- a/crates/controller/src/fleet/wanted.rs
+++ b/crates/controller/src/fleet/wanted.rs
@@ -29,6 +29,7 @@
         let mut up: BTreeMap<Class, u32> = BTreeMap::new();
         let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
         let (mut owned_cpus, mut idle_owned) = (0.0, 0.0);
+        let mut credit: BTreeMap<Class, f64> = BTreeMap::new();
         for (id, i) in &self.instances {
             let m = place.machine(*id);
             let leaving = i.release != Release::No
@@ -39,6 +40,17 @@
                 continue;
             }
             let class = Class { shape: i.shape, spot: i.spot };
+            if let (Some(silent_s), Some(s)) = (self.shielded.get(id), shapes.get(i.shape)) {
+                // Behind a broken link: replaced by and by, as the wait grows.
+                let credit = credit.entry(class).or_default();
+                *credit += expected_back(*silent_s, s.boot_s);
+                if *credit >= 1.0 {
+                    *credit -= 1.0;
+                    *have.entry(class).or_default() += 1;
+                    pools.entry(i.shape).or_default().push((s.boot_s, s.cpus));
+                }
+                continue;
+            }
             *have.entry(class).or_default() += 1;
             let pool = pools.entry(i.shape).or_default();
             if m.is_some_and(|m| m.heard.is_some()) {
@@ -229,6 +241,16 @@
     }
 }
 
+/// The part of the machines behind a broken link that are counted on, though
+/// they cannot be reached.
+///
+/// What has lasted `silent_s` seconds may be expected to last as long again;
+/// a replacement is up after a boot, so before that none is worth its money,
+/// and after three boots' time all are.
+fn expected_back(silent_s: f64, boot_s: f64) -> f64 {
+    1.0 - ((silent_s - boot_s) / (boot_s * 2.0).max(1.0)).clamp(0.0, 1.0)
+}
+
 /// The types without what is drained: a drained type takes no task, a drained
 /// zone is not there.
 fn undrained(shapes: &[Shape], standing: &Standing) -> Vec<Shape> {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod chronicle;
 pub mod desk;
 pub mod directives;
+#[cfg(feature = "faults")]
+pub mod faults;
 pub mod fleet;
 pub mod intake;
 pub mod jobs;
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -7,7 +7,7 @@
 use crate::chronicle::Chronicle;
 use crate::desk::{Desk, Limits};
 use crate::directives::Directives;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Senses};
 use crate::intake::{self, Context, Intake};
 use crate::jobs::JobBook;
 use crate::leader::{Leader, Standing};
@@ -17,6 +17,7 @@
 use crate::placement::{Order, Placement, Report, Verdict};
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_operators::messages::What;
+use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors, Work};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Counts, Dest, Out, Service};
 use beamhinge_vocab::peers::{encode, Frame};
@@ -75,6 +76,15 @@
     started: Time,
     stepped_back: Option<Time>,
     looked: Time,
+    presence: Presence,
+    /// Machines that tried us though we do not hold them.
+    visitors: Visitors,
+    told_visitors: Time,
+    /// What peers say they hear, for when we hold the block.
+    elsewhere: Hearsay,
+    stall: Stall,
+    /// When a peer last said that it was stuck as a holder.
+    peer_stuck: Option<Time>,
     directives: Directives,
     /// None where no operators' address is set.
     desk: Option<Desk>,
@@ -82,6 +92,8 @@
     measured: Time,
     /// Time of day at the last event.
     wall: WallMs,
+    #[cfg(feature = "faults")]
+    faults: crate::faults::Faults,
 }
 
 mod operators;
@@ -116,16 +128,31 @@
             started: now,
             stepped_back: None,
             looked: Time::default(),
+            presence: Presence::new(1.0_f64.max(settings.params.workers.report_s * 0.4)),
+            visitors: Visitors::default(),
+            told_visitors: Time::default(),
+            elsewhere: Hearsay::default(),
+            stall: Stall::new(stuck_after_s(&settings)),
+            peer_stuck: None,
             directives: Directives::default(),
             metrics: Metrics::new(desk.is_some()),
             desk,
             measured: Time::default(),
             wall: WallMs::default(),
+            #[cfg(feature = "faults")]
+            faults: crate::faults::Faults::default(),
             settings,
             operator,
         }
     }
 
+    /// Puts faults of old back; for tests that must find them.
+    #[cfg(feature = "faults")]
+    pub fn put_back(&mut self, faults: crate::faults::Faults) {
+        self.faults = faults;
+        self.fleet.put_back(faults);
+    }
+
     pub fn is_holder(&self) -> bool {
         self.place.is_some()
     }
@@ -245,7 +272,15 @@
             // A holder out of touch names nobody: it may still be the holder.
             (Some(_), false) => refuse(out, id, 503, "out of touch with the state service"),
             (None, _) => {
-                let foreman = self.peers.holder(now).or(self.leader.other_leader());
+                let machine = MachineId::parse(&report.host);
+                let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
+                // Sent to the holder a moment ago and back again: it is not
+                // answered there, and would wait for its time-out once more.
+                let holder = self.peers.holder(now).or(self.leader.other_leader());
+                let foreman = holder.filter(|_| !deaf);
+                if let (Some(m), Some(_)) = (machine, foreman) {
+                    self.visitors.sent_on(m);
+                }
                 out.push(Out::Answer {
                     to: id,
                     status: 421,
@@ -264,6 +299,13 @@
         self.place.is_some() && seen && now.since(self.leader.checked()) < limit
     }
 
+    /// Sure enough to hold the block to rent and give back: confirmed within the
+    /// time in which nobody else can have taken it unnoticed for long.
+    fn acting(&self, now: Time) -> bool {
+        self.place.is_some()
+            && now.since(self.leader.checked()) < self.settings.leader_lease_s() + 2.0
+    }
+
     // ---- replies and frames ----
 
     fn take_reply(
@@ -367,7 +409,16 @@
                 let standing = self.directives.standing().clone();
                 self.metrics.took(now);
                 self.place = Some(Placement::new(&self.settings, token, standing, chronicle, now));
-                self.fleet.begin_term(now, token, &self.operator);
+                #[cfg(feature = "faults")]
+                if let Some(place) = &mut self.place {
+                    place.unbounded = self.faults.unbounded;
+                }
+                self.fleet.begin_term(now, token, &self.operator, &self.settings);
+                self.elsewhere = Hearsay::default();
+                let stuck = |at: Time| now.since(at) < stuck_after_s(&self.settings) * 6.0;
+                if let (Some(place), true) = (&mut self.place, self.peer_stuck.is_some_and(stuck)) {
+                    place.begin_small();
+                }
                 self.ledger.set_share(holder_share(&self.settings));
                 self.nudged.clear();
                 self.peers.sent = Time::default();
@@ -398,7 +449,18 @@
                     })
                     .collect();
             }
+            Frame::Hears { machines, .. } => {
+                let machines = machines.iter().filter_map(|m| MachineId::parse(m));
+                self.elsewhere.told(now, machines);
+            }
+            Frame::Stuck { label } => {
+                tracing::warn!("{label} was stuck as the holder");
+                self.peer_stuck = Some(now);
+            }
             Frame::Holds { label, token } => {
+                if self.peers.token_of(&label) != Some(token) {
+                    self.visitors.holder_changed();
+                }
                 self.peers.holds(now, &label, Token(token));
                 // Guard 1: a higher token was taken, so ours is over.
                 if self.leader.token().is_some_and(|t| token > t.0) {
@@ -439,8 +501,14 @@
                 });
             }
         }
+        if now.since(self.told_visitors) >= 0.5 {
+            self.told_visitors = now;
+            self.tell_visitors(now, out);
+        }
         if now.since(self.looked) >= 0.5 {
             self.looked = now;
+            self.elsewhere.forget(now, WORD_S);
+            self.consider_stall(now, out);
             self.consider_stepping_back(now);
             self.obey_drain(now);
             if now.since(self.measured) >= 1.0 {
@@ -487,6 +555,44 @@
         }
     }
 
+    /// Tells the holder who comes here instead: they live, whatever it thinks.
+    fn tell_visitors(&mut self, now: Time, out: &mut Vec<Out>) {
+        let machines = self.visitors.lately(now, WORD_S);
+        if machines.is_empty() || self.place.is_some() {
+            return;
+        }
+        let Some(holder) = self.peers.holder(now).or(self.leader.other_leader()) else { return };
+        let machines = machines.iter().take(Frame::MOST_NAMES).map(|m| m.to_string()).collect();
+        let hears = Frame::Hears { label: self.settings.label.clone(), machines };
+        out.push(Out::Tell { to: Some(holder.to_string()), frame: encode(&hears) });
+    }
+
+    /// A holder that reaches the state service and yet commits nothing while
+    /// there is work is stuck, however healthy it looks: another takes over, and
+    /// begins with small steps.
+    fn consider_stall(&mut self, now: Time, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        let reached = self.ledger_age(now) < 2.5;
+        let work = Work { waiting: place.has_work(), moved: place.moved(), reached };
+        if !self.stall.look(now, work) {
+            return;
+        }
+        tracing::error!(
+            "stuck: the state service answers, there is work, and nothing was committed for {:.0} s",
+            self.stall.stuck_s(now).unwrap_or_default()
+        );
+        if self.settings.members.is_empty() || !self.peers.others_reach_ledger(now) {
+            if let Some(place) = &mut self.place {
+                place.begin_small();
+            }
+            return;
+        }
+        let stuck = Frame::Stuck { label: self.settings.label.clone() };
+        out.push(Out::Tell { to: None, frame: encode(&stuck) });
+        let standing = self.leader.step_back(now, &mut self.ledger);
+        self.on_standing(now, standing);
+    }
+
     /// A leader that cannot hear most of its workers would watch their leases
     /// run out. If it is the one cut off, another controller hears them.
     fn consider_stepping_back(&mut self, now: Time) {
@@ -495,6 +601,23 @@
         if self.settings.members.is_empty() || now.since(place.took()) < w.report_s * 3.0 + 3.0 {
             return;
         }
+        // Nothing is concluded from our own absence.
+        if self.presence.back_for(now).is_some_and(|s| s < w.report_s * 2.5 + 2.0) {
+            return;
+        }
+        // A peer hears more than we do: the lead is of more use there, at once.
+        let link = self.fleet.link();
+        let lately = self.stepped_back.is_some_and(|at| now.since(at) < w.lease_s);
+        if link.better_elsewhere() && !lately && self.peers.others_reach_ledger(now) {
+            self.stepped_back = Some(now);
+            tracing::warn!(
+                "{} machines are heard here and {} only by peers; stepping back",
+                link.heard,
+                link.elsewhere
+            );
+            let standing = self.leader.step_back(now, &mut self.ledger);
+            return self.on_standing(now, standing);
+        }
         // Machines that are gone are silent to every controller. Who has stepped
         // back already, and leads again, stays until silence is proof; else the
         // lead goes round for ever and nothing is ever proven.
@@ -572,6 +695,14 @@
         }
     }
 
+    /// Something happens here: we are there, and may not have been.
+    fn awake(&mut self, now: Time, wall: WallMs) {
+        self.wall = wall;
+        if let Some(away_s) = self.presence.at(now) {
+            tracing::warn!("this controller stood still for {away_s:.1} s");
+        }
+    }
+
     /// What a step sent out, as operators see it.
     fn finish(&mut self, now: Time, before: usize, out: &mut [Out]) {
         let new = &mut out[before..];
@@ -609,11 +740,17 @@
                     self.metrics.loaded(now);
                 }
             }
+            let senses = Senses {
+                presence: &self.presence,
+                elsewhere: &self.elsewhere,
+                acting: self.acting(now),
+            };
             self.fleet.tick(
                 now,
                 wall,
                 &self.operator,
                 &self.settings,
+                &senses,
                 self.place.as_mut(),
                 &mut self.ledger,
             );
@@ -642,7 +779,7 @@
         request: Request,
         out: &mut Vec<Out>,
     ) {
-        self.wall = wall;
+        self.awake(now, wall);
         let before = out.len();
         if door == OPERATORS_DOOR {
             self.operators_request(now, wall, id, &request, out);
@@ -661,27 +798,37 @@
         result: Option<(u16, Vec<u8>)>,
         out: &mut Vec<Out>,
     ) {
-        self.wall = wall;
+        self.awake(now, wall);
         let before = out.len();
         self.take_reply(now, wall, id, result, out);
         self.finish(now, before, out);
     }
 
     fn on_frame(&mut self, now: Time, wall: WallMs, frame: Frame, out: &mut Vec<Out>) {
-        self.wall = wall;
+        self.awake(now, wall);
         let before = out.len();
         self.take_frame(now, frame, out);
         self.finish(now, before, out);
     }
 
     fn on_tick(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
-        self.wall = wall;
+        self.awake(now, wall);
         let before = out.len();
         self.take_tick(now, wall, out);
         self.finish(now, before, out);
     }
 }
 
+/// How long a machine that was sent to the holder must not come back.
+const DEAF_S: f64 = 12.0;
+/// How long a word on who is heard counts, seconds.
+const WORD_S: f64 = 8.0;
+
+/// How long a holder may commit nothing while there is work.
+fn stuck_after_s(settings: &Settings) -> f64 {
+    (settings.params.workers.lease_s * 0.5).clamp(5.0, 15.0)
+}
+
 /// The doors of a controller, by their place in the loop's list.
 pub const OPERATORS_DOOR: usize = 1;
 
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -235,6 +235,11 @@
             return;
         }
         let limits = ledger.limits().part(self.course.part());
+        #[cfg(feature = "faults")]
+        let limits = match self.unbounded {
+            true => beamhinge_limits::Limits { conditions: limits.conditions * 2, ..limits },
+            false => limits,
+        };
         let mut txn = Txn::new(limits);
         // Guard 1: whoever lost the block can commit nothing.
         if txn.when(BLOCK, Stamp(self.token.0)).is_err() {
@@ -517,6 +522,11 @@
             // The same again would be refused again: less of it is tried, and
             // in the end what it holds is set aside.
             Outcome::Malformed => {
+                #[cfg(feature = "faults")]
+                if self.unbounded {
+                    self.not_committed(now, flying);
+                    return Verdict::Fine;
+                }
                 let aside = self.course.malformed(now) == Next::Aside;
                 if aside {
                     self.set_aside(now, &flying);
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -17,6 +17,7 @@
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
+use beamhinge_suspicion::Rhythm;
 use beamhinge_vocab::messages::Counts;
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
@@ -383,6 +384,11 @@
     cleaned_at: Time,
     /// When the books last moved: a commit or a reply to a load.
     moved: Time,
+    /// How long reports usually stay away.
+    rhythm: Rhythm,
+    /// The fault of old that a transaction takes more than may be.
+    #[cfg(feature = "faults")]
+    pub unbounded: bool,
     planned_at: Time,
     silence_at: Time,
     replan: bool,
@@ -437,6 +443,9 @@
             last_shelf: 0,
             cleaned_at: now,
             moved: now,
+            rhythm: Rhythm::new(w.report_s),
+            #[cfg(feature = "faults")]
+            unbounded: false,
             planned_at: Time::default(),
             silence_at: Time::default(),
             replan: true,
@@ -486,6 +495,39 @@
         (heard, silent)
     }
 
+    /// When the books last moved.
+    pub fn moved(&self) -> Time {
+        self.moved
+    }
+
+    /// There is something to write, or to read before anything can be.
+    pub fn has_work(&self) -> bool {
+        !self.loaded
+            || self.load.is_some()
+            || self.flying.is_some()
+            || !self.plans.is_empty()
+            || !self.complete.is_empty()
+            || self.stopped
+    }
+
+    /// Another holder got nowhere: begin with the smallest transactions.
+    pub fn begin_small(&mut self) {
+        self.course.begin_small();
+    }
+
+    /// Silence from which a machine is overdue, seconds.
+    pub fn overdue_s(&self) -> f64 {
+        self.rhythm.overdue_s()
+    }
+
+    /// It reports again before it was given back.
+    pub fn undrain(&mut self, id: MachineId) {
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.draining = false;
+            self.replan = true;
+        }
+    }
+
     /// The machine goes back to the cloud.
     pub fn drain(&mut self, id: MachineId, why: &str) {
         self.chronicle.note(|| What::Returned { machine: id.to_string(), why: why.to_string() });
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -32,6 +32,9 @@
         }
         let newer_tenure = m.last.is_some_and(|l| l.tenure < moment.tenure);
         m.last = Some(moment);
+        if let Some(before) = m.heard.filter(|_| !newer_tenure) {
+            self.rhythm.heard(now.since(before));
+        }
         m.heard = Some(now);
         m.shape = shapes.iter().position(|s| s.label == report.shape);
         m.zone.clone_from(&report.yard);
--- /dev/null
+++ b/crates/lab/src/days.rs
@@ -0,0 +1,148 @@
+//! Drawn days in simulated time: the rules, liveness, and what was given away.
+
+use crate::LabError;
+use beamhinge_controller::faults::Faults;
+use beamhinge_sim::days::{self, Day, Size};
+use beamhinge_sim::scenario::{self, Outcome};
+use clap::{Args, ValueEnum};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+#[derive(Args)]
+pub struct Options {
+    /// How many days are played
+    #[arg(long, default_value_t = 20)]
+    days: u64,
+    /// Only this one of them
+    #[arg(long, value_name = "NUMBER")]
+    day: Option<u64>,
+    /// Play the faults of this file, in the bench's form, instead of drawn ones
+    #[arg(long, value_name = "TOML")]
+    file: Option<PathBuf>,
+    /// Put a fault of old back: the days must find it
+    #[arg(long = "break", value_enum)]
+    broken: Option<Broken>,
+    /// Make the first failing day smaller and write it to this file
+    #[arg(long, value_name = "FILE")]
+    reduce: Option<PathBuf>,
+    /// Days that are played at the same time
+    #[arg(long, default_value_t = 6)]
+    jobs: usize,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Broken {
+    /// Transactions take more than may be, and are repeated alike
+    Unbounded,
+    /// Silent is dead as long as most are heard
+    Hasty,
+}
+
+type Played = Result<Outcome, scenario::Wrong>;
+
+pub fn run(seed: u64, quick: bool, o: &Options) -> Result<Value, LabError> {
+    let size = if quick { days::SMALL } else { days::FULL };
+    let mut faults = Faults::default();
+    match o.broken {
+        Some(Broken::Unbounded) => faults.unbounded = true,
+        Some(Broken::Hasty) => faults.hasty = true,
+        None => {}
+    }
+    let plan = plan(seed, size, o)?;
+    let began = Instant::now();
+    let mut played = play_all(&plan, faults, o.jobs);
+    played.sort_by_key(|(n, ..)| *n);
+    let mut troubles: BTreeMap<&str, u32> = BTreeMap::new();
+    plan.iter().flat_map(|d| &d.troubles).for_each(|(k, n)| *troubles.entry(k).or_default() += n);
+    let (mut violations, mut stuck, mut idle, mut failed) = (0, 0, 0, Vec::new());
+    let (mut healthy, mut cut_off, mut unexplained, mut started, mut slowest) = (0, 0, 0, 0, 0.0);
+    for (n, outcome, real_s) in &played {
+        let day = &plan[*n];
+        let outcome =
+            outcome.as_ref().map_err(|e| LabError::Other(format!("{}: {e}", day.name)))?;
+        violations += outcome.violations.len();
+        stuck += usize::from(!outcome.stuck.is_empty());
+        idle += usize::from(outcome.idle_machines > 0);
+        healthy += outcome.tally.healthy_returned;
+        cut_off += outcome.tally.cut_off;
+        unexplained += outcome.tally.unexplained;
+        started += outcome.started;
+        slowest = f64::max(slowest, outcome.settled_s);
+        let bad = days::faulty(outcome);
+        if bad {
+            failed.push(day.name.clone());
+        }
+        eprintln!(
+            "{:14} {:5} machines {:7} tasks  settled {:4.0} s  cut off {:5}  healthy returned {:4}  unexplained {:4}  {:5.1} s  {}",
+            day.name,
+            outcome.most_machines,
+            outcome.started,
+            outcome.settled_s,
+            outcome.tally.cut_off,
+            outcome.tally.healthy_returned,
+            outcome.tally.unexplained,
+            real_s,
+            if bad { outcome.wrong.join("; ") } else { "ok".into() },
+        );
+    }
+    if let (Some(path), Some(name)) = (&o.reduce, failed.first()) {
+        if let Some(day) = plan.iter().find(|d| d.name == *name) {
+            let small =
+                days::reduce(&day.text, faults, 40).map_err(|e| LabError::Other(e.to_string()))?;
+            std::fs::write(path, small)?;
+        }
+    }
+    let sizes = plan.iter().map(|d| d.machines);
+    Ok(json!({
+        "ok": failed.is_empty(),
+        "experiment": "days",
+        "seed": seed,
+        "days": plan.len(),
+        "machines": [sizes.clone().min(), sizes.max()],
+        "troubles": troubles,
+        "tasks": started,
+        "violations": violations,
+        "days_stuck": stuck,
+        "days_with_idle_machines": idle,
+        "cut_off": cut_off,
+        "healthy_returned": healthy,
+        "unexplained_losses": unexplained,
+        "longest_settle_s": slowest,
+        "failed": failed,
+        "real_s": began.elapsed().as_secs_f64().round(),
+    }))
+}
+
+fn plan(seed: u64, size: Size, o: &Options) -> Result<Vec<Day>, LabError> {
+    let numbers: Vec<u64> = o.day.map_or_else(|| (0..o.days).collect(), |d| vec![d]);
+    let Some(path) = &o.file else {
+        return Ok(numbers.into_iter().map(|n| days::draw(seed, n, size)).collect());
+    };
+    let text = std::fs::read_to_string(path)?;
+    let days = numbers.into_iter().map(|n| days::from_toml(&text, seed, n, size));
+    days.collect::<Result<_, _>>().map_err(|e| LabError::Other(e.to_string()))
+}
+
+/// Each day is a world of its own; they share nothing but the processors.
+fn play_all(plan: &[Day], faults: Faults, jobs: usize) -> Vec<(usize, Played, f64)> {
+    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.clamp(1, 64).min(plan.len().max(1)) {
+            scope.spawn(|| loop {
+                let n = next.fetch_add(1, Ordering::Relaxed) as usize;
+                let Some(day) = plan.get(n) else { return };
+                let began = Instant::now();
+                let outcome = scenario::play(&day.text, faults);
+                let row = (n, outcome, began.elapsed().as_secs_f64());
+                if let Ok(mut done) = done.lock() {
+                    done.push(row);
+                }
+            });
+        }
+    });
+    done.into_inner().unwrap_or_default()
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
-//! Experiments on real processes. The last line is one JSON object with `"ok"`
+//! Experiments on real processes, and days in simulated time. The last line is one JSON object with `"ok"`
 //! and the figures; the exit code is 1 when a check fails.
 
+mod days;
 mod doors;
 mod explain;
 mod history;
@@ -45,6 +46,8 @@
     },
     /// Each reason why a job does not run is caused, told, and taken away
     Explain,
+    /// Drawn days in simulated time, 100 to 3,000 machines: rules, liveness, what is given away
+    Days(days::Options),
     /// Hostile, mistaken and slow clients at the operators' door
     Doors,
     /// A long list of jobs in a small controller
@@ -100,6 +103,7 @@
             restart::run(&lab, quick, doubles)
         }
         Experiment::Explain => explain::run(&lab),
+        Experiment::Days(options) => days::run(arguments.seed, quick, &options),
         Experiment::Doors => doors::run(&lab),
         Experiment::List { open } => list::run(&lab, quick, open),
         Experiment::Controller(_) => return ExitCode::FAILURE,
--- a/crates/limits/src/course.rs
+++ b/crates/limits/src/course.rs
@@ -53,6 +53,11 @@
         self.malformed + self.refused
     }
 
+    /// Begins at the smallest size: elsewhere larger ones got nowhere.
+    pub fn begin_small(&mut self) {
+        self.malformed = ASIDE;
+    }
+
     /// It was taken.
     pub fn succeeded(&mut self) {
         (self.malformed, self.refused) = (0, 0);
--- a/crates/controller/tests/sim/mod.rs
+++ b/crates/sim/src/cluster.rs
@@ -3,6 +3,7 @@
 //! the protocol. After every step the protocol's rules are checked against
 //! what really is on the machines, not against what the controllers believe.
 
+use beamhinge_controller::faults::Faults;
 use beamhinge_controller::node::Node;
 use beamhinge_standins::cloud::Cloud;
 use beamhinge_standins::state::State;
@@ -93,6 +94,8 @@
         body: Vec<u8>,
     },
     OperatorAsks(Question),
+    Crash(usize),
+    Start(usize),
     Script(usize),
 }
 
@@ -114,6 +117,29 @@
     Operator(Question),
 }
 
+/// What happened to machines and tasks, by what really was the case.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Machines that were up when their link was cut.
+    pub cut_off: u64,
+    /// Healthy machines that were given back busy, or while they were cut off.
+    pub healthy_returned: u64,
+    /// Tasks on them, and tasks that a lease ended on a machine and in a time
+    /// without trouble.
+    pub unexplained: u64,
+    /// Tasks that a lease ended.
+    pub expired: u64,
+}
+
+/// The far end of a controller's link.
+#[derive(Clone, Copy)]
+enum Far<'a> {
+    State,
+    Cloud,
+    Peer(usize),
+    Worker(&'a str),
+}
+
 pub struct Sim {
     pub now: Us,
     seq: u64,
@@ -132,7 +158,22 @@
     next_request: u64,
     pub broken: BTreeSet<String>,
     pub started: u64,
-    pub cuts: BTreeMap<(usize, String), Us>,
+    /// Broken links of controllers: until when, and whether what is sent
+    /// meanwhile is held and delivered late.
+    pub cuts: BTreeMap<(usize, String), (Us, bool)>,
+    /// Zones without any link to the outside.
+    pub zone_cuts: BTreeMap<String, (Us, bool)>,
+    /// Controllers that stand still while their clocks run on.
+    pub frozen: Vec<Us>,
+    /// How much longer the state service takes, and until when.
+    pub state_slow: (f64, Us),
+    /// Troubles of controllers and links explain what is lost until then.
+    pub explained_until: Us,
+    pub tally: Tally,
+    checked: Us,
+    faults: Faults,
+    /// Machines with a lower number were there from the start.
+    pub owned: u64,
     pub lose_replies: f64,
     pub late: f64,
     pub doubles: Doubles,
@@ -147,7 +188,8 @@
 }
 
 impl Sim {
-    pub fn new(settings: Vec<Settings>, seed: u64) -> Sim {
+    /// A cluster whose controllers have faults of old put back.
+    pub fn broken(settings: Vec<Settings>, seed: u64, faults: Faults) -> Sim {
         let s = &settings[0].params;
         let n = settings.len();
         let mut sim = Sim {
@@ -168,6 +210,12 @@
             broken: BTreeSet::new(),
             started: 0,
             cuts: BTreeMap::new(),
+            zone_cuts: BTreeMap::new(),
+            frozen: vec![0; n],
+            state_slow: (1.0, 0),
+            explained_until: 0,
+            tally: Tally::default(),
+            checked: 0,
             lose_replies: 0.0,
             late: 0.0,
             doubles: Doubles::default(),
@@ -178,6 +226,8 @@
             led: 0,
             leaderless: 0,
             settings,
+            faults,
+            owned: 0,
         };
         for i in 0..n {
             sim.start(i);
@@ -200,7 +250,9 @@
         let operator = Operator::parse("the door", door).expect("sound");
         let nonce = self.rng.gen_range(1..1u64 << 50);
         let now = Time::from_micros(self.now);
-        self.nodes[i] = Some(Node::new(self.settings[i].clone(), operator, Vec::new(), nonce, now));
+        let mut node = Node::new(self.settings[i].clone(), operator, Vec::new(), nonce, now);
+        node.put_back(self.faults);
+        self.nodes[i] = Some(node);
         let life = self.lives[i];
         self.push(self.now + 1_000, Event::Tick(i, life));
     }
@@ -232,7 +284,54 @@
     }
 
     fn cut(&self, node: usize, what: &str) -> bool {
-        self.cuts.get(&(node, what.to_string())).is_some_and(|until| self.now < *until)
+        self.cuts.get(&(node, what.to_string())).is_some_and(|(until, _)| self.now < *until)
+    }
+
+    /// The zone that a controller is in.
+    pub fn area(&self, node: usize) -> &str {
+        &self.settings[node].area
+    }
+
+    fn zone_is_cut(&self, zone: &str) -> bool {
+        self.zone_cuts.get(zone).is_some_and(|(until, _)| self.now < *until)
+    }
+
+    /// When a message over a controller's link arrives that would do so at `at`;
+    /// none: it is lost.
+    fn passes(&self, node: usize, far: Far, at: Us) -> Option<Us> {
+        let (what, elsewhere) = match far {
+            Far::State => ("state", None),
+            Far::Cloud => ("cloud", None),
+            Far::Peer(p) => ("peers", Some(self.area(p))),
+            Far::Worker(zone) => ("workers", Some(zone)),
+        };
+        let mut broken: Vec<(Us, bool)> = Vec::new();
+        broken.extend(self.cuts.get(&(node, what.to_string())));
+        if let Far::Peer(p) = far {
+            broken.extend(self.cuts.get(&(p, what.to_string())));
+        }
+        let area = self.area(node);
+        if elsewhere != Some(area) {
+            broken.extend(self.zone_cuts.get(area));
+            broken.extend(elsewhere.and_then(|z| self.zone_cuts.get(z)));
+        }
+        broken.retain(|(until, _)| self.now < *until);
+        match broken.iter().map(|(until, _)| *until).max() {
+            None => Some(at),
+            Some(until) if broken.iter().all(|(_, held)| *held) => Some(until.max(at) + 1_000),
+            Some(_) => None,
+        }
+    }
+
+    fn worker_zone(&self, machine: u64) -> String {
+        self.workers.get(&machine).map(|w| w.zone.clone()).unwrap_or_default()
+    }
+
+    /// A trouble of controllers or links, or of what they need: losses until a
+    /// while after its end have a cause.
+    pub fn explain_until(&mut self, until: Us) {
+        let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
+        self.explained_until = self.explained_until.max(until + lease);
     }
 
     pub fn run_until(&mut self, end: Us) {
@@ -247,13 +346,48 @@
                     self.push(self.now, event);
                     return;
                 }
+                let event = match self.frozen_until(&event) {
+                    // In the order in which they came.
+                    Some(until) => {
+                        self.push(until, event);
+                        continue;
+                    }
+                    None => event,
+                };
                 self.handle(event);
-                self.check();
+                self.look_around();
             }
         }
         self.now = self.now.max(end);
     }
 
+    /// The end of the standstill of the controller that an event is for.
+    fn frozen_until(&self, event: &Event) -> Option<Us> {
+        let node = match event {
+            Event::Tick(node, _)
+            | Event::ToNode { node, .. }
+            | Event::ReportArrives { node, .. }
+            | Event::Frame { to: node, .. } => *node,
+            _ => return None,
+        };
+        self.frozen.get(node).copied().filter(|until| self.now < *until)
+    }
+
+    /// The rules are about what is on machines: they are looked at whenever that
+    /// changed, and each second for what only time breaks.
+    fn look_around(&mut self) {
+        let changed = self.workers.values().any(|w| !w.events.is_empty() || w.expired > 0);
+        let due = self.now >= self.checked + SECOND;
+        if self.holder().is_some() || self.led == 0 {
+            self.led = self.now;
+        }
+        self.leaderless = self.leaderless.max(self.now - self.led);
+        if changed || due {
+            self.checked = self.now;
+            self.check();
+        }
+    }
+
     /// Where `run_until` stopped for the script, the line that is due.
     pub fn due_script(&mut self) -> Option<usize> {
         let Reverse((at, seq)) = self.queue.peek().copied()?;
@@ -287,9 +421,9 @@
                 let at = self.now + hop;
                 match dest {
                     Dest::State => {
-                        if self.cut(i, "state") {
+                        let Some(at) = self.passes(i, Far::State, at + self.state_delay()) else {
                             return;
-                        }
+                        };
                         let lost = path == "/commit" && self.rng.gen_bool(self.lose_replies);
                         let late = path == "/commit" && self.rng.gen_bool(self.late);
                         let at = if late { at + self.rng.gen_range(1..20) * SECOND } else { at };
@@ -300,7 +434,7 @@
                         );
                     }
                     Dest::Cloud => {
-                        if !self.cut(i, "cloud") {
+                        if let Some(at) = self.passes(i, Far::Cloud, at) {
                             self.push(
                                 at + 50_000,
                                 Event::ToCloud { node: i, life, call: id, method, path, body },
@@ -310,7 +444,8 @@
                     Dest::Node(_) => {}
                     Dest::Worker(addr) => {
                         let machine = u64::from(addr.port()) - 10_000;
-                        if !self.cut(i, "workers") {
+                        let zone = self.worker_zone(machine);
+                        if let Some(at) = self.passes(i, Far::Worker(&zone), at) {
                             self.push(
                                 at,
                                 Event::ToWorker { node: i, life, call: id, machine, body },
@@ -327,13 +462,14 @@
                     Some(Caller::Operator(q)) => {
                         self.answers.insert(q.name, (status, decode(&body)));
                     }
-                    Some(Caller::Worker { machine, serial }) if !self.cut(i, "workers") => {
-                        self.push(
-                            self.now + hop,
-                            Event::ReportAnswered { machine, serial, status, body },
-                        );
+                    Some(Caller::Worker { machine, serial }) => {
+                        let zone = self.worker_zone(machine);
+                        if let Some(at) = self.passes(i, Far::Worker(&zone), self.now + hop) {
+                            let e = Event::ReportAnswered { machine, serial, status, body };
+                            self.push(at, e);
+                        }
                     }
-                    _ => {}
+                    None => {}
                 }
             }
             Out::OperatorAnswer { to, status, body, .. } => {
@@ -348,9 +484,12 @@
             Out::Tell { to: label, frame } => {
                 for to in 0..self.nodes.len() {
                     let meant = label.as_ref().is_none_or(|l| self.settings[to].label == *l);
-                    if to != i && meant && !self.cut(i, "peers") && !self.cut(to, "peers") {
+                    if to == i || !meant {
+                        continue;
+                    }
+                    if let Some(at) = self.passes(i, Far::Peer(to), self.now + hop) {
                         let life = self.lives[to];
-                        self.push(self.now + hop, Event::Frame { to, life, body: frame.clone() });
+                        self.push(at, Event::Frame { to, life, body: frame.clone() });
                     }
                 }
             }
@@ -387,10 +526,10 @@
                 if let Some((status, body)) = reply {
                     if !quiet {
                         let hop = self.rng.gen_range(1_000..4_000);
-                        self.push(
-                            self.now + hop,
-                            Event::ToNode { node, life, call, reply: Some((status, body)) },
-                        );
+                        if let Some(at) = self.passes(node, Far::State, self.now + hop) {
+                            let reply = Some((status, body));
+                            self.push(at, Event::ToNode { node, life, call, reply });
+                        }
                     }
                 }
                 if self.doubles.forgets_jobs {
@@ -401,10 +540,10 @@
             Event::Watch => {
                 let (ready, next) = self.state.watches(self.now);
                 for ((node, life, call), body) in ready {
-                    self.push(
-                        self.now + 2_000,
-                        Event::ToNode { node, life, call, reply: Some((200, body)) },
-                    );
+                    if let Some(at) = self.passes(node, Far::State, self.now + 2_000) {
+                        let reply = Some((200, body));
+                        self.push(at, Event::ToNode { node, life, call, reply });
+                    }
                 }
                 if let Some(next) = next {
                     self.push(next.max(self.now + 1_000), Event::Watch);
@@ -416,10 +555,11 @@
                     self.push(m.1, Event::Report { machine: m.0 });
                 }
                 for gone in self.cloud.take_gone() {
-                    self.workers.remove(&gone);
+                    self.given_back(gone);
+                }
+                if let Some(at) = self.passes(node, Far::Cloud, self.now + 50_000) {
+                    self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
                 }
-                let at = self.now + 50_000;
-                self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
             }
             Event::ToWorker { node, life, call, machine, body } => {
                 let Some(w) = self.workers.get_mut(&machine).filter(|w| self.now >= w.cut_until)
@@ -444,9 +584,6 @@
                     self.push(self.now + 2_000, Event::ReportTimedOut { machine, serial });
                     return;
                 }
-                if self.cut(node, "workers") {
-                    return;
-                }
                 let id = self.next_request + 1;
                 self.callers.insert((node, id), Caller::Worker { machine, serial });
                 self.request(node, Method::Post, "/hello", body);
@@ -500,6 +637,8 @@
                 }
             }
             Event::OperatorAsks(q) => self.operator_asks(q),
+            Event::Crash(i) => self.crash(i),
+            Event::Start(i) => self.start(i),
             Event::Script(_) => {}
         }
     }
@@ -521,11 +660,11 @@
         self.push(self.now + 4 * SECOND, Event::ReportTimedOut { machine, serial });
         self.push(self.now, Event::WorkerStep { machine });
         if !cut {
-            let at = self.now + 2_000;
-            self.push(
-                at,
-                Event::ReportArrives { machine, node, serial, body: wire::encode(&body) },
-            );
+            let zone = self.worker_zone(machine);
+            if let Some(at) = self.passes(node, Far::Worker(&zone), self.now + 2_000) {
+                let body = wire::encode(&body);
+                self.push(at, Event::ReportArrives { machine, node, serial, body });
+            }
         }
     }
 
@@ -571,7 +710,10 @@
     // ---- users ----
 
     fn user_sends(&mut self, job: String, what: What, since: Us) {
-        let up: Vec<usize> = (0..self.nodes.len()).filter(|i| self.nodes[*i].is_some()).collect();
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].is_some() && self.now >= self.frozen[*i])
+            .filter(|i| !self.zone_is_cut(self.area(*i)))
+            .collect();
         if up.is_empty() {
             return self.retry(job, what, since, 1.0);
         }
@@ -625,6 +767,88 @@
         }
     }
 
+    /// How much longer the state service takes now, in microseconds.
+    fn state_delay(&self) -> Us {
+        match self.state_slow {
+            (factor, until) if self.now < until => (factor * 3_000.0) as Us,
+            _ => 0,
+        }
+    }
+
+    /// The cloud takes a machine back since a controller asked for it.
+    fn given_back(&mut self, machine: u64) {
+        let Some(w) = self.workers.remove(&machine) else { return };
+        let ill = self.now < w.hang_until
+            || self.now < w.cut_until
+            || w.sick
+            || w.slow > 1.0
+            || w.reclaim_at.is_some();
+        let busy = w.on_machine().count() as u64;
+        let deaf = |n: usize| {
+            self.passes(n, Far::Worker(&w.zone), self.now).is_none_or(|at| at > self.now)
+        };
+        let cut = self.zone_is_cut(&w.zone) || (0..self.nodes.len()).any(deaf);
+        if !ill && (busy > 0 || cut) {
+            self.tally.healthy_returned += 1;
+            self.tally.unexplained += busy;
+        }
+    }
+
+    /// The machine stops with all that is on it; the cloud notices later.
+    pub fn die(&mut self, machine: u64) {
+        self.workers.remove(&machine);
+        if let Some(h) = self.cloud.hosts.get_mut(&machine) {
+            h.failed_at = Some(self.now + 30 * SECOND);
+        }
+    }
+
+    /// How many machines with their worker up are in a zone, or anywhere.
+    pub fn up(&self, zone: Option<&str>) -> u64 {
+        self.workers.values().filter(|w| zone.is_none_or(|z| z == w.zone)).count() as u64
+    }
+
+    /// All troubles end: links and services are there, all controllers run.
+    pub fn heal(&mut self) {
+        let now = self.now;
+        self.cuts.values_mut().for_each(|c| c.0 = c.0.min(now));
+        self.zone_cuts.values_mut().for_each(|c| c.0 = c.0.min(now));
+        self.frozen.iter_mut().for_each(|f| *f = (*f).min(now));
+        (self.lose_replies, self.late) = (0.0, 0.0);
+        self.state_slow = (1.0, 0);
+        self.state.down_until = self.state.down_until.min(now);
+        self.cloud.down_until = self.cloud.down_until.min(now);
+        self.cloud.part = 1.0;
+        (0..self.settings.len()).for_each(|i| self.start(i));
+    }
+
+    /// Rules that were broken.
+    pub fn violations(&self) -> Vec<String> {
+        self.broken.iter().cloned().collect()
+    }
+
+    /// Machines that cost money: all but those that were there before.
+    pub fn rented_machines(&self) -> usize {
+        let owned = self.owned;
+        self.cloud.hosts.iter().filter(|(id, h)| **id >= owned && h.failed_at.is_none()).count()
+    }
+
+    /// Some service is to run for ever: its machines cost money for something.
+    pub fn services_run(&self) -> bool {
+        let open =
+            |id: &String| self.told.get(id).is_some_and(|t| t.accepted && t.cancelled.is_none());
+        self.jobs.iter().any(|(id, j)| (j.body["jobKind"] == "standing" || j.fails) && open(id))
+    }
+
+    /// Accepted jobs that are neither done nor cancelled, and should be.
+    pub fn unfinished(&self) -> Vec<&str> {
+        let over = |t: &Told| t.done || t.cancelled.is_some();
+        let batch = |j: &JobPlan| j.body["jobKind"] == "batch" && !j.fails;
+        let open = self.told.iter().filter(|(_, t)| t.accepted && !over(t));
+        open.filter(|(id, _)| self.jobs.get(*id).is_some_and(batch))
+            .map(|(id, _)| id.as_str())
+            .collect()
+    }
+
     fn results_of(&self, job: &str) -> u64 {
         self.results.get(job).map_or(0, |s| s.len() as u64)
     }
@@ -638,10 +862,6 @@
 
     /// The protocol's rules about what is on machines.
     fn check(&mut self) {
-        if self.holder().is_some() || self.led == 0 {
-            self.led = self.now;
-        }
-        self.leaderless = self.leaderless.max(self.now - self.led);
         let mut on: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
         let mut team: BTreeMap<&str, f64> = BTreeMap::new();
         let mut broken: Vec<(&str, String)> = Vec::new();
@@ -708,7 +928,14 @@
 
     /// Results are kept outside the machines.
     fn gather_done(&mut self) {
+        let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
         for w in self.workers.values_mut() {
+            let expired = std::mem::take(&mut w.expired);
+            self.tally.expired += expired;
+            let ill = self.now < w.hang_until.max(w.cut_until) + lease;
+            if expired > 0 && !ill && self.now > self.explained_until {
+                self.tally.unexplained += expired;
+            }
             self.started += std::mem::take(&mut w.started);
             self.state.abused.append(&mut w.abused);
             w.events.clear();
--- /dev/null
+++ b/crates/sim/src/days.rs
@@ -0,0 +1,402 @@
+//! Days that are drawn: deployments of any size with troubles of all kinds,
+//! alone and together, written as scenarios, so that a day which fails can be
+//! made smaller and kept.
+
+use crate::scenario::{self, Outcome, Wrong};
+use beamhinge_controller::faults::Faults;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// How large days may be.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Fewest and most machines.
+    pub machines: (f64, f64),
+    /// Seconds in which jobs arrive.
+    pub seconds: (f64, f64),
+}
+
+/// For a first look, and for CI.
+pub const SMALL: Size = Size { machines: (40.0, 160.0), seconds: (90.0, 140.0) };
+pub const FULL: Size = Size { machines: (100.0, 3_000.0), seconds: (200.0, 360.0) };
+
+/// A drawn day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub name: String,
+    pub text: String,
+    pub machines: u64,
+    /// How often each kind of trouble occurs.
+    pub troubles: BTreeMap<&'static str, u32>,
+}
+
+/// What a day is drawn from, and what troubles are scaled by.
+struct Drawn {
+    rng: StdRng,
+    machines: f64,
+    lease: f64,
+    end: f64,
+    next_job: u64,
+    lines: String,
+    troubles: BTreeMap<&'static str, u32>,
+}
+
+impl Drawn {
+    fn between(&mut self, a: f64, b: f64) -> f64 {
+        if b <= a {
+            return a;
+        }
+        self.rng.gen_range(a..b)
+    }
+
+    fn of(&mut self, many: &[f64]) -> f64 {
+        many.choose(&mut self.rng).copied().unwrap_or(1.0)
+    }
+
+    fn at(&mut self, at: f64, kind: &'static str, line: &str) {
+        // Writing to a string cannot fail.
+        let _ = writeln!(self.lines, "at {at:.1} {line}");
+        if !kind.is_empty() {
+            *self.troubles.entry(kind).or_default() += 1;
+        }
+    }
+
+    fn who(&mut self) -> &'static str {
+        ["leader", "leader", "a", "b", "c"].choose(&mut self.rng).copied().unwrap_or("leader")
+    }
+
+    /// One trouble of a drawn kind at about this time.
+    fn trouble(&mut self, at: f64) {
+        const KINDS: [&str; 18] = [
+            "burst",
+            "die",
+            "hang",
+            "sick",
+            "slow",
+            "crash",
+            "crash_all",
+            "cut_all",
+            "cut_state",
+            "cut_workers",
+            "refused",
+            "freeze",
+            "roll",
+            "peers_refuse",
+            "spot_taken",
+            "capacity",
+            "state",
+            "zone_cut",
+        ];
+        let kind = KINDS.choose(&mut self.rng).copied().unwrap_or("crash");
+        let (lease, machines) = (self.lease, self.machines);
+        let count = self.between(0.02, 0.12) * machines;
+        let cut = self.between(0.8, 2.2) * lease;
+        let hang = self.between(0.5, 1.6) * lease;
+        let hold = ["", " hold"].choose(&mut self.rng).copied().unwrap_or("");
+        let who = self.who();
+        let line = match kind {
+            "burst" => {
+                let first = self.next_job;
+                self.next_job += 1_000;
+                let n = (machines / 40.0).clamp(2.0, 40.0);
+                format!("stream {first} count={n:.0} every=0.5 tasks=20 cpus=2 run=15 urgency=high")
+            }
+            "die" => format!("die count={count:.0}"),
+            "hang" => format!("hang count={count:.0} for={hang:.1}"),
+            "sick" => format!("sick count={:.0}", count * 0.4),
+            "slow" => format!("slow count={:.0}", count * 0.5),
+            "crash" => {
+                self.at(at + 4.0, "", "start-all");
+                format!("crash {who}")
+            }
+            "crash_all" => {
+                self.at(at + 4.0, "", "start-all");
+                "crash-all".to_string()
+            }
+            "cut_all" => format!("cut {who} all {cut:.1}{hold}"),
+            "cut_state" => format!("cut {who} state {cut:.1}{hold}"),
+            "cut_workers" => format!("cut {who} workers {cut:.1}{hold}"),
+            "refused" => format!("cut {who} refused {cut:.1}"),
+            "freeze" => {
+                format!("freeze {who} {:.1}", hang)
+            }
+            "roll" => format!("roll every={:.1}", self.between(8.0, 25.0)),
+            "peers_refuse" => format!("peers-refuse {:.1}", self.between(20.0, 40.0)),
+            "spot_taken" => format!("take count={:.0}", count * 2.0),
+            "capacity" => {
+                let part = self.between(0.5, 0.8);
+                format!("capacity {part:.2}")
+            }
+            "state" if self.rng.gen_bool(0.5) => {
+                format!("state-down {:.1}", self.between(6.0, 16.0))
+            }
+            "state" => {
+                let (factor, long) = (self.between(5.0, 40.0), self.between(20.0, 60.0));
+                format!("state-slow factor={factor:.0} for={long:.0}")
+            }
+            _ => {
+                let zone = ["north", "south"].choose(&mut self.rng).copied().unwrap_or("north");
+                format!("zone-cut {zone} {cut:.1}{hold}")
+            }
+        };
+        self.at(at, kind, &line);
+    }
+}
+
+/// The day that belongs to this seed and number: always the same.
+pub fn draw(seed: u64, number: u64, size: Size) -> Day {
+    let mix = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number);
+    let mut rng = StdRng::seed_from_u64(mix);
+    let span = (size.machines.0.ln(), size.machines.1.ln());
+    let machines = rng.gen_range(span.0..=span.1).exp().round();
+    let mut d = Drawn {
+        rng,
+        machines,
+        lease: 0.0,
+        end: 0.0,
+        next_job: 1,
+        lines: String::new(),
+        troubles: BTreeMap::new(),
+    };
+    d.end = d.between(size.seconds.0, size.seconds.1).round();
+    let report = d.of(&[1.0, 2.0, 2.5, 4.0, 5.0]);
+    d.lease = (report * 5.5).max(10.0);
+    let (rps, writes) = (d.of(&[100.0, 200.0, 400.0]), d.of(&[30.0, 40.0, 100.0]));
+    let (value, txn) = (d.of(&[1.0, 8.0, 32.0]), d.of(&[2.0, 4.0, 8.0, 20.0, 24.0]));
+    let (boot, lag) = (d.between(6.0, 30.0), d.between(1.0, 4.0));
+    let lease = d.lease;
+    let owned = (machines * d.between(0.02, 0.1)).ceil().max(2.0);
+    let large = (machines * d.between(0.0, 0.08)).round();
+    let ordinary = (machines * d.between(0.05, 0.25)).round();
+    let spot = (machines - owned - large - ordinary).max(4.0);
+    // Capacities are of each of two zones.
+    let text = format!(
+        "seed {}\nteam-max 0\nowned {owned:.0}\nspot {:.0}\nordinary {:.0}\nlarge {:.0}\nboot {boot:.0}\n\
+         workers report={report} lease={lease} cancel={}\n\
+         state rps={rps} writes={writes} value={value} txn={txn}\n\
+         cloud rps={:.0} lag={lag:.1}\n",
+        mix % 1_000_000,
+        (spot / 2.0).ceil(),
+        (ordinary / 2.0).ceil(),
+        (large / 2.0).ceil(),
+        lease + 30.0,
+        d.between(5.0, 11.0),
+    );
+    // Two classes, together a drawn part of all room; and one in a hurry.
+    let room = (spot + ordinary + owned) * 8.0 + large * 32.0;
+    let load = d.between(0.3, 0.6);
+    let arrive = d.end - 30.0;
+    for (cpus, run, tasks, part, words) in [
+        (4.0, 20.0, 30.0, 0.6, "class=a due=150"),
+        (2.0, 12.0, 12.0, 0.3, "class=prompt urgency=high due=40"),
+        (8.0, 30.0, 4.0, 0.1, "class=b"),
+    ] {
+        let width: f64 = (tasks * d.between(0.5, 1.5_f64)).round();
+        let jobs = (room * load * part * arrive / (cpus * run * width)).ceil().clamp(2.0, 900.0);
+        let (every, first) = (arrive / jobs, d.next_job);
+        d.next_job += 1_000;
+        d.at(
+            2.0,
+            "",
+            &format!("stream {first} count={jobs:.0} every={every:.2} tasks={width:.0} cpus={cpus} run={run} {words}"),
+        );
+    }
+    let storm = d.rng.gen_bool(0.3);
+    let troubles = d.rng.gen_range(1..=6);
+    let (from, to) = (d.end * 0.25, d.end * 0.85);
+    let center = d.between(from, to);
+    for _ in 0..troubles {
+        let at = if storm { center + d.between(0.0, 8.0) } else { d.between(from, to) };
+        d.trouble(at);
+    }
+    let text = format!("{text}{}end {:.0}\n", d.lines, d.end);
+    let name = format!("day-{seed}-{number}");
+    Day { name, text, machines: machines as u64, troubles: d.troubles }
+}
+
+/// What is wrong with a day, beyond expectations of its own.
+pub fn faulty(o: &Outcome) -> bool {
+    !o.violations.is_empty()
+        || !o.stuck.is_empty()
+        || o.idle_machines > 0
+        || !o.wrong.is_empty()
+        || given_away(o)
+}
+
+/// More healthy machines were given back than a fiftieth of those cut off.
+pub fn given_away(o: &Outcome) -> bool {
+    o.tally.healthy_returned > (o.tally.cut_off / 50).max(2)
+}
+
+/// Makes a failing day smaller: leaves out what it fails without, line by line,
+/// and ends it sooner, within so many tries.
+///
+/// # Errors
+/// When a line cannot be understood.
+pub fn reduce(text: &str, faults: Faults, mut tries: u32) -> Result<String, Wrong> {
+    let mut lines: Vec<String> = text.lines().map(String::from).collect();
+    let fails = |lines: &[String]| -> Result<bool, Wrong> {
+        Ok(faulty(&scenario::play(&(lines.join("\n") + "\n"), faults)?))
+    };
+    let mut at = 0;
+    while at < lines.len() && tries > 0 {
+        if !lines[at].starts_with("at ") {
+            at += 1;
+            continue;
+        }
+        tries -= 1;
+        let mut less = lines.clone();
+        less.remove(at);
+        if fails(&less)? {
+            lines = less;
+        } else {
+            at += 1;
+        }
+    }
+    Ok(lines.join("\n") + "\n")
+}
+
+/// A fault of a day's file, in the form of the bench's days.
+#[derive(Deserialize)]
+struct Fault {
+    at_s: f64,
+    kind: String,
+    #[serde(default)]
+    for_s: f64,
+    #[serde(default = "one")]
+    count: f64,
+    #[serde(default)]
+    busiest: bool,
+    #[serde(default)]
+    from_state: bool,
+    #[serde(default)]
+    from_workers: bool,
+    #[serde(default)]
+    refused: bool,
+    #[serde(default)]
+    mode: String,
+    #[serde(default)]
+    zone: Option<String>,
+    #[serde(default = "one")]
+    factor: f64,
+    #[serde(default)]
+    share: f64,
+    #[serde(default = "one")]
+    every_s: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+struct DayFile {
+    #[serde(default)]
+    faults: Vec<Fault>,
+    #[serde(default)]
+    day: Vec<DayFile>,
+}
+
+/// A day's file in the bench's form (`faults = [...]`, or a `[[day]]`), played on
+/// the deployment that belongs to the seed and number.
+///
+/// # Errors
+/// When the file cannot be read, or names a kind that is not known.
+pub fn from_toml(text: &str, seed: u64, number: u64, size: Size) -> Result<Day, Wrong> {
+    let file: DayFile = toml::from_str(text).map_err(|e| e.to_string())?;
+    let base = draw(seed, number, size);
+    let quiet = |l: &&str| !l.starts_with("at ") || l.contains(" stream ") && l.contains("class=");
+    let mut lines: Vec<String> = base
+        .text
+        .lines()
+        .filter(quiet)
+        .filter(|l| !l.starts_with("end "))
+        .map(String::from)
+        .collect();
+    let mut end: f64 = 60.0;
+    let all = file.faults.into_iter().chain(file.day.into_iter().flat_map(|d| d.faults));
+    for (n, f) in all.enumerate() {
+        end = end.max(f.at_s + f.for_s + 30.0);
+        let zone = match f.zone.as_deref() {
+            Some("south") => "south",
+            _ => "north",
+        };
+        let who = if f.busiest { "leader" } else { "follower" };
+        let hold = if f.mode == "hold" { " hold" } else { "" };
+        let machines = base.machines as f64;
+        let line = match f.kind.as_str() {
+            "job_burst" => format!(
+                "stream {} count={:.0} every=0.5 tasks=20 cpus=2 run=15",
+                50_000 + n * 1_000,
+                f.for_s * f.factor / 10.0
+            ),
+            "state_outage" => format!("state-down {}", f.for_s),
+            "state_slow" => format!("state-slow factor={} for={}", f.factor, f.for_s),
+            "node_crash" => {
+                lines.push(format!("at {} start-all", f.at_s + 4.0));
+                if f.count >= 3.0 {
+                    "crash-all".into()
+                } else {
+                    format!("crash {who}")
+                }
+            }
+            "node_roll" => format!("roll every={}", f.every_s),
+            "node_freeze" => format!("freeze {who} {}", f.for_s),
+            "node_cut" => {
+                let what = match (f.from_state, f.from_workers, f.refused) {
+                    (_, _, true) => "refused",
+                    (true, false, _) => "state",
+                    (false, true, _) => "workers",
+                    _ => "all",
+                };
+                format!("cut {who} {what} {}{hold}", f.for_s)
+            }
+            "peers_refuse" => format!("peers-refuse {}", f.for_s),
+            "zone_cut" => format!("zone-cut {zone} {}{hold}", f.for_s),
+            "machine_hang" => format!("hang count={} for={}", f.count, f.for_s),
+            "machine_die" => format!("die count={}", f.count),
+            "machine_sick" => format!("sick count={}", f.count),
+            "machine_slow" => format!("slow count={}", f.count),
+            "spot_taken" => format!("take count={:.0}", f.share * machines),
+            "capacity" => format!("capacity {}", f.count.clamp(0.0, 1.0)),
+            "cloud_outage" => format!("cloud-down {}", f.for_s),
+            other => return Err(format!("a fault of unknown kind '{other}'").into()),
+        };
+        lines.push(format!("at {} {line}", f.at_s));
+    }
+    lines.push(format!("end {end:.0}"));
+    Ok(Day { text: lines.join("\n") + "\n", ..base })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_day_is_always_the_same_and_days_differ() {
+        let (a, b) = (draw(3, 5, FULL), draw(3, 5, FULL));
+        assert_eq!(a.text, b.text);
+        assert_ne!(a.text, draw(3, 6, FULL).text);
+        let kinds: BTreeMap<&str, u32> = (0..200).flat_map(|n| draw(9, n, FULL).troubles).fold(
+            BTreeMap::new(),
+            |mut m, (k, n)| {
+                *m.entry(k).or_default() += n;
+                m
+            },
+        );
+        assert_eq!(kinds.len(), 18, "every kind is drawn: {kinds:?}");
+    }
+
+    #[test]
+    fn a_file_of_the_benchs_form_becomes_a_day() {
+        let text = "faults = [\n { at_s = 30.0, kind = \"zone_cut\", zone = \"south\", for_s = 20.0, mode = \"hold\" },\n { at_s = 40.0, kind = \"node_crash\", count = 1, busiest = true } ]\n";
+        let day = from_toml(text, 1, 1, SMALL).expect("a day");
+        assert!(day.text.contains("at 30 zone-cut south 20 hold\n"), "{}", day.text);
+        assert!(day.text.contains("at 40 crash leader\n"));
+        assert!(from_toml("faults = [{ at_s = 1.0, kind = \"flood\" }]", 1, 1, SMALL).is_err());
+    }
+}
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,7 @@
+//! A whole cluster in simulated time: the controllers as they are, on stand-ins
+//! that can be told to fail; scenarios as small text files; and days that are
+//! drawn, judged, and made smaller when one fails.
+
+pub mod cluster;
+pub mod days;
+pub mod scenario;
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -15,7 +15,8 @@
     pub spot: bool,
     pub rented: Us,
     pub up: Us,
-    pub failed: bool,
+    /// From when on the list calls it failed: it stopped by itself.
+    pub failed_at: Option<Us>,
 }
 
 #[derive(Clone, Debug)]
@@ -45,6 +46,8 @@
     booted: Vec<(u64, Us)>,
     gone: Vec<u64>,
     pub stuck: u32,
+    /// The part of its capacity that the cloud has to give.
+    pub part: f64,
     pub down_until: Us,
     pub most: u32,
     /// Part of the rental answers that never arrive.
@@ -78,6 +81,7 @@
             booted: Vec::new(),
             gone: Vec::new(),
             stuck: 0,
+            part: 1.0,
             down_until: 0,
             most: 0,
             rented: 0,
@@ -91,7 +95,7 @@
         let up = boot.map_or(u64::MAX, |b| now + b);
         self.hosts.insert(
             id,
-            Host { shape: shape.into(), zone: zone.into(), spot, rented: now, up, failed: false },
+            Host { shape: shape.into(), zone: zone.into(), spot, rented: now, up, failed_at: None },
         );
         if boot.is_some() {
             self.booted.push((id, up));
@@ -106,7 +110,7 @@
     }
 
     pub fn booted(&self, now: Us, id: u64) -> Option<(Host, Kind)> {
-        let host = self.hosts.get(&id).filter(|h| h.up <= now)?;
+        let host = self.hosts.get(&id).filter(|h| h.up <= now && h.failed_at.is_none())?;
         let kind = self.kinds.iter().find(|k| k.label == host.shape)?;
         Some((host.clone(), kind.clone()))
     }
@@ -162,7 +166,9 @@
             }
         };
         self.views.push_back((now, self.hosts.clone()));
-        while self.views.len() > 400 {
+        // The oldest view that a list may still show is kept, and none before it.
+        let oldest = now.saturating_sub(2 * self.lag);
+        while self.views.get(1).is_some_and(|(at, _)| *at <= oldest) {
             self.views.pop_front();
         }
         (reply.0, wire::encode(&reply.1))
@@ -192,7 +198,7 @@
             .iter()
             .filter(|(id, _)| since.is_none_or(|s| **id > s))
             .map(|(id, h)| {
-                let status = if h.failed {
+                let status = if h.failed_at.is_some_and(|t| t <= at) {
                     "failed"
                 } else if h.up <= at {
                     "running"
@@ -229,7 +235,8 @@
             .values()
             .filter(|h| h.shape == shape && h.zone == zone && h.spot == spot)
             .count();
-        let free = self.capacity.get(&key).copied().unwrap_or(0).saturating_sub(used as u32);
+        let all = f64::from(self.capacity.get(&key).copied().unwrap_or(0)) * self.part;
+        let free = (all as u32).saturating_sub(used as u32);
         let n = free.min(count as u32);
         if n == 0 {
             return (503, json!({"error": "no capacity"}));
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -262,8 +262,9 @@
 
     fn news(&self, under: &str, since: u64, now_or_never: bool) -> Option<Vec<u8>> {
         let mut last: BTreeMap<&String, (u64, &Option<Value>)> = BTreeMap::new();
-        for (rev, key, value) in &self.history {
-            if *rev > since && key.starts_with(under) {
+        let from = self.history.partition_point(|(rev, ..)| *rev <= since);
+        for (rev, key, value) in self.history.range(from..) {
+            if key.starts_with(under) {
                 last.insert(key, (*rev, value));
             }
         }
--- a/crates/standins/src/user.rs
+++ b/crates/standins/src/user.rs
@@ -24,7 +24,7 @@
     Poll(f64),
 }
 
-#[derive(Default, Debug)]
+#[derive(Clone, Default, Debug)]
 pub struct Told {
     pub accepted: bool,
     pub done: bool,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -59,6 +59,8 @@
     pub sick: bool,
     pub slow: f64,
     pub started: u64,
+    /// Tasks that ended since the lease ran out.
+    pub expired: u64,
     pub finished: Vec<String>,
     /// What began and ended on the machine, for whoever runs or watches it.
     pub events: Vec<Event>,
@@ -95,6 +97,7 @@
             sick: false,
             slow: 1.0,
             started: 0,
+            expired: 0,
             finished: Vec::new(),
             events: Vec::new(),
             abused: Vec::new(),
@@ -117,6 +120,7 @@
             {
                 let (piece, attempt) = (t.piece, t.attempt);
                 self.events.push(Event { piece, attempt, what: Happened::Stopped });
+                self.expired += 1;
             }
             self.tenure += 1;
             self.renewed = now;
--- /dev/null
+++ b/crates/suspicion/src/hearsay.rs
@@ -0,0 +1,112 @@
+//! What controllers tell each other of the machines that try them.
+
+use beamhinge_vocab::types::{MachineId, Time};
+use std::collections::BTreeMap;
+
+/// Machines that are remembered at most; guards memory and frames.
+const MOST: usize = 4_096;
+
+/// Machines that tried a controller which does not hold them.
+#[derive(Debug, Default)]
+pub struct Visitors {
+    /// When it came, and whether it was sent to the holder.
+    came: BTreeMap<MachineId, (Time, bool)>,
+}
+
+impl Visitors {
+    /// A machine reported here. Returns whether it was sent to the holder within
+    /// the last `within_s` seconds, and came back: the holder does not answer it.
+    pub fn came(&mut self, now: Time, id: MachineId, within_s: f64) -> bool {
+        let known = self.came.get(&id).copied();
+        let again = known.is_some_and(|(at, sent)| sent && now.since(at) <= within_s);
+        if self.came.len() < MOST || known.is_some() {
+            self.came.insert(id, (now, false));
+        }
+        again
+    }
+
+    /// It is sent to the holder.
+    pub fn sent_on(&mut self, id: MachineId) {
+        if let Some((_, sent)) = self.came.get_mut(&id) {
+            *sent = true;
+        }
+    }
+
+    /// There is another holder: nobody was sent to it yet.
+    pub fn holder_changed(&mut self) {
+        self.came.values_mut().for_each(|(_, sent)| *sent = false);
+    }
+
+    /// Who came within the last `within_s` seconds; the others are forgotten.
+    pub fn lately(&mut self, now: Time, within_s: f64) -> Vec<MachineId> {
+        self.came.retain(|_, (at, _)| now.since(*at) <= within_s);
+        self.came.keys().copied().collect()
+    }
+}
+
+/// At the holder: who was heard by a peer, and when.
+#[derive(Debug, Default)]
+pub struct Hearsay {
+    heard: BTreeMap<MachineId, Time>,
+}
+
+impl Hearsay {
+    /// A peer says that it hears these.
+    pub fn told(&mut self, now: Time, machines: impl Iterator<Item = MachineId>) {
+        for id in machines.take(MOST) {
+            if self.heard.len() < MOST || self.heard.contains_key(&id) {
+                self.heard.insert(id, now);
+            }
+        }
+    }
+
+    /// Forgets what is older than `within_s` seconds.
+    pub fn forget(&mut self, now: Time, within_s: f64) {
+        self.heard.retain(|_, at| now.since(*at) <= within_s);
+    }
+
+    /// Seconds since a peer last said that it hears this machine.
+    pub fn since(&self, now: Time, id: MachineId) -> Option<f64> {
+        self.heard.get(&id).map(|at| now.since(*at))
+    }
+
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn memory_is_bounded_and_old_words_lapse() {
+        let id = |n: u32| MachineId::parse(&format!("n-{n:06}")).expect("a name");
+        let at = |s: f64| Time::default().plus(10.0 + s);
+        let mut v = Visitors::default();
+        assert!(!v.came(at(0.0), id(1), 12.0));
+        v.sent_on(id(1));
+        assert!(v.came(at(5.0), id(1), 12.0), "it came back: where it was sent, nobody answers");
+        v.sent_on(id(1));
+        assert!(!v.came(at(30.0), id(1), 12.0));
+        v.sent_on(id(1));
+        v.holder_changed();
+        assert!(!v.came(at(30.5), id(1), 12.0), "the new holder may answer it");
+        for n in 0..10_000 {
+            v.came(at(31.0), id(n), 12.0);
+        }
+        let all = v.lately(at(31.0), 6.0);
+        assert_eq!(all.len(), MOST);
+        let mut e = Hearsay::default();
+        e.told(at(31.0), all.iter().copied());
+        e.told(at(31.0), (0..20_000).map(id));
+        assert_eq!(e.len(), MOST);
+        assert!(e.since(at(33.0), id(3)).is_some_and(|s| (s - 2.0).abs() < 1e-6));
+        e.forget(at(40.0), 6.0);
+        assert!(e.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/suspicion/src/lib.rs
@@ -0,0 +1,22 @@
+//! What silence means.
+//!
+//! A controller that does not hear a machine knows little: the machine may be
+//! dead, its link may be, or the controller's own. This package weighs that for
+//! machines together, and says of each whether it may be given back. It decides
+//! about money and waiting only: when a task is off a machine is Guard 3's
+//! matter, and nothing here weakens it.
+//!
+//! Sans-IO: times come in, findings go out. `docs/suspicion.md` has the ways
+//! that were weighed.
+
+mod groups;
+mod hearsay;
+mod presence;
+mod rhythm;
+mod stall;
+
+pub use groups::{Bounds, Finding, Group, Link, Look, Seen, Suspicion};
+pub use hearsay::{Hearsay, Visitors};
+pub use presence::Presence;
+pub use rhythm::Rhythm;
+pub use stall::{Stall, Work};
--- a/crates/vocab/src/peers.rs
+++ b/crates/vocab/src/peers.rs
@@ -25,6 +25,17 @@
     Ask { from: String, serial: u64, query: Vec<u8> },
     /// The holder's answer: a status as of HTTP, and JSON.
     Told { serial: u64, status: u16, body: Vec<u8> },
+    /// To the holder: machines that reported here lately, since it does not
+    /// answer them or they do not know it. Sent only while there are such.
+    Hears { label: String, machines: Vec<String> },
+    /// From a holder that commits nothing though there is work: whoever takes
+    /// over is to begin with small steps.
+    Stuck { label: String },
+}
+
+impl Frame {
+    /// Names that a frame holds: bounded, so that no frame exceeds its limit.
+    pub const MOST_NAMES: usize = 4_000;
 }
 
 pub fn encode(frame: &Frame) -> Vec<u8> {
@@ -57,6 +68,21 @@
 mod tests {
     use super::*;
 
+    /// Guards against a frame that the other side refuses, with the link, each
+    /// second anew.
+    #[test]
+    fn the_longest_lists_fit_a_frame() {
+        let long = "n-123456789012345678".to_string();
+        let machines = vec![long.clone(); Frame::MOST_NAMES];
+        let hears = Frame::Hears { label: "x".repeat(200), machines };
+        let rows = vec![("job-123456789012345678".to_string(), u32::MAX, u32::MAX); 4_000];
+        for frame in [hears, Frame::Progress(rows)] {
+            let mut bytes = encode(&frame);
+            assert!(bytes.len() <= FRAME_LIMIT, "{}", bytes.len());
+            assert_eq!(take(&mut bytes).ok().flatten(), Some(frame));
+        }
+    }
+
     #[test]
     fn frames_come_whole_or_not_at_all() {
         let frame = Frame::Progress(vec![("job-1".into(), 2, 3)]);
