--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -211,7 +211,6 @@
     pub(super) fn watch_machines(
         &mut self,
         now: Time,
-        lag_s: f64,
         shapes: &[Shape],
         settings: &Settings,
         senses: &Senses,
@@ -255,10 +254,6 @@
             // under an earlier holder: if it does not report it is silent, and
             // may yet wake.
             let was_up = m.is_some_and(|m| !m.is_empty()) || i.status == Status::Running;
-            let gone_from_list = match i.listed {
-                Some(t) => now.since(t) > lag_s * 2.0 + 4.0,
-                None => now.since(i.rented.max(self.began)) > lag_s * 3.0 + 6.0,
-            };
             let why = if i.status == Status::Failed {
                 "failed"
             } else if m.is_some_and(|m| m.sick) {
@@ -269,7 +264,9 @@
                 && now.since(self.began) > boot * 0.5 + lease_s
             {
                 "never came up"
-            } else if never && gone_from_list {
+            // Lists that came and do not name it: by time alone, a holder that
+            // reached no cloud for a while gave back whatever it had not heard.
+            } else if never && i.missing >= 2 {
                 "vanished from the list"
             } else if let Some(why) = given_up.get(id) {
                 why
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -371,6 +371,7 @@
 
     // ---- loops ----
 
+    #[allow(clippy::too_many_arguments)]
     pub fn tick(
         &mut self,
         now: Time,
@@ -407,7 +408,7 @@
             if let Some(runs) = term.splits.runs.take() {
                 place.restore_runs(runs);
             }
-            term.watch_machines(now, self.lag_s, &self.shapes, settings, senses, place);
+            term.watch_machines(now, &self.shapes, settings, senses, place);
             term.decide(now, wall, self.lag_s, &self.shapes, operator, settings, place);
         }
         term.splits.keep(now, term.token, place.runs(), settings.value_limit(), ledger);
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -384,6 +384,8 @@
     cleaned_at: Time,
     /// When the books last moved: a commit or a reply to a load.
     moved: Time,
+    /// Tasks that the books do not know: since when, how many, one of them.
+    strangers: Option<(Time, usize, String)>,
     /// How long reports usually stay away.
     rhythm: Rhythm,
     /// The fault of old that a transaction takes more than may be.
@@ -443,6 +445,7 @@
             last_shelf: 0,
             cleaned_at: now,
             moved: now,
+            strangers: None,
             rhythm: Rhythm::new(w.report_s),
             #[cfg(feature = "faults")]
             unbounded: false,
@@ -760,6 +763,7 @@
         if now.since(self.silence_at) >= SILENCE_S {
             self.silence_at = now;
             self.check_silence(now);
+            self.tell_strangers(now);
         }
         if now.since(self.planned_at) >= 0.05
             && (self.replan || now.since(self.planned_at) > 1.0)
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -3,6 +3,9 @@
 use super::*;
 use std::cmp::Reverse;
 
+/// For so long strangers are counted before they are told of, seconds.
+const STRANGERS_S: f64 = 5.0;
+
 fn order(verb: &'static str, task: TaskId, attempt: Attempt, wind: Option<f64>) -> Order {
     Order { verb, piece: task.to_string(), attempt: attempt.0, wind_down_s: wind }
 }
@@ -145,14 +148,33 @@
             None => return,
         };
         for (task, _) in &ghosts {
-            tracing::error!("{id} runs {task}, which is not in our books");
+            tracing::debug!("{id} runs {task}, which is not in our books");
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 *job.live.entry(task.index).or_insert(0) += 1;
             }
         }
+        // After a cut hundreds come at once, in reports that were held: one line
+        // for all of them.
+        if let Some((task, _)) = ghosts.first().filter(|g| !old.contains(g)) {
+            let example = format!("{task} on {id}");
+            let strangers = self.strangers.get_or_insert((now, 0, example));
+            strangers.1 += ghosts.len();
+        }
         self.release_ghosts(now, old);
     }
 
+    /// Says how many tasks were found that the books do not know.
+    pub(super) fn tell_strangers(&mut self, now: Time) {
+        if self.strangers.as_ref().is_none_or(|(since, ..)| now.since(*since) < STRANGERS_S) {
+            return;
+        }
+        if let Some((_, count, example)) = self.strangers.take() {
+            tracing::warn!(
+                "{count} tasks found that are not in our books, such as {example}; they are stopped"
+            );
+        }
+    }
+
     fn release_ghosts(&mut self, now: Time, ghosts: Vec<(TaskId, Attempt)>) {
         for (task, _) in ghosts {
             if let Some(job) = self.jobs.get_mut(&task.job) {
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -29,6 +29,12 @@
     /// Make the first failing day smaller and write it to this file
     #[arg(long, value_name = "FILE")]
     reduce: Option<PathBuf>,
+    /// Write the day of --day to this file, to be kept as a scenario
+    #[arg(long, value_name = "FILE", requires = "day")]
+    write: Option<PathBuf>,
+    /// What the controllers of a day log: error, info or debug; one day only
+    #[arg(long, value_name = "LEVEL", requires = "day")]
+    log: Option<String>,
     /// Days that are played at the same time
     #[arg(long, default_value_t = 6)]
     jobs: usize,
@@ -53,6 +59,17 @@
         None => {}
     }
     let plan = plan(seed, size, o)?;
+    if let (Some(path), Some(day)) = (&o.write, plan.first()) {
+        std::fs::write(path, &day.text)?;
+    }
+    if let Some(level) = &o.log {
+        let filter = tracing_subscriber::EnvFilter::new(level);
+        tracing_subscriber::fmt()
+            .with_env_filter(filter)
+            .with_writer(std::io::stderr)
+            .without_time()
+            .init();
+    }
     let began = Instant::now();
     let mut played = play_all(&plan, faults, o.jobs);
     played.sort_by_key(|(n, ..)| *n);
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -266,8 +266,13 @@
             // The machines with the most on them, as the bench would choose.
             let count = number(words, "count", 1.0)? as usize;
             let until = sim.now + (number(words, "for", 10.0)? * 1e6) as u64;
-            let mut busy: Vec<(usize, u64)> =
-                sim.workers.iter().map(|(id, w)| (w.on_machine().count(), *id)).collect();
+            let zone = option(words, "zone");
+            let mut busy: Vec<(usize, u64)> = sim
+                .workers
+                .iter()
+                .filter(|(_, w)| zone.is_none_or(|z| z == w.zone))
+                .map(|(id, w)| (w.on_machine().count(), *id))
+                .collect();
             busy.sort_by(|a, b| b.cmp(a));
             for (_, id) in busy.into_iter().take(count) {
                 if what == "die" {
@@ -420,6 +425,18 @@
         outcome.wrong.push(format!("misused: {abused}"));
     }
     outcome.tally = sim.tally.clone();
+    for words in &expect {
+        let most: f64 = words.get(1).and_then(|w| w.parse().ok()).unwrap_or(0.0);
+        let figure = match words[0] {
+            "healthy-returned-at-most" => outcome.tally.healthy_returned as f64,
+            "unexplained-at-most" => outcome.tally.unexplained as f64,
+            "settled-within" => outcome.settled_s,
+            _ => continue,
+        };
+        if figure > most {
+            outcome.wrong.push(format!("expected {}; it was {figure}", words.join(" ")));
+        }
+    }
     (outcome.started, outcome.most_machines) = (sim.started, sim.cloud.most);
     Ok(outcome)
 }
@@ -522,6 +539,7 @@
             // Changes of the state service: work counted, not time.
             "writes-at-most" => sim.state.writes <= arg(1).parse().unwrap_or(0),
             "progress-keys" => sim.state.keys_under("d/") == arg(1).parse::<usize>().unwrap_or(0),
+            "healthy-returned-at-most" | "unexplained-at-most" | "settled-within" => true,
             other => {
                 wrong.push(format!("unknown expectation '{other}'"));
                 true
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -327,10 +327,11 @@
 
     /// Time passes on the machine; true when something changed.
     pub fn step(&mut self, now: Us, jobs: &BTreeMap<String, JobPlan>) -> bool {
+        // A machine that hangs beyond its lease resumes without its tasks.
+        self.expire(now);
         if now < self.hang_until {
             return false;
         }
-        self.expire(now);
         let mut changed = false;
         for t in &mut self.tasks {
             if t.until > now || t.status == "exited" {
--- a/crates/suspicion/src/groups.rs
+++ b/crates/suspicion/src/groups.rs
@@ -118,13 +118,21 @@
 pub struct Suspicion {
     bounds: Bounds,
     began: BTreeMap<Group, Time>,
+    /// Groups that are heard again, and until when their last ones have time.
+    back: BTreeMap<Group, Time>,
     budget: f64,
     filled: Option<Time>,
 }
 
 impl Suspicion {
     pub fn new(bounds: Bounds) -> Suspicion {
-        Suspicion { bounds, began: BTreeMap::new(), budget: 0.0, filled: None }
+        Suspicion {
+            bounds,
+            began: BTreeMap::new(),
+            back: BTreeMap::new(),
+            budget: 0.0,
+            filled: None,
+        }
     }
 
     /// Since when a machine's group is suspected, seconds; the longest of them.
@@ -164,6 +172,7 @@
             kind.overdue += u32::from(overdue);
         }
         self.suspect(now, all, &groups);
+        self.back.retain(|_, until| *until > now);
         let most = (f64::from(all.known) * AT_ONCE).max(2.0);
         let passed = self.filled.map_or(f64::MAX, |at| now.since(at));
         self.budget = (self.budget + passed.min(1e3) * f64::from(all.known) * PER_S).min(most);
@@ -206,8 +215,10 @@
     fn keep(&mut self, now: Time, group: Group, count: Count, silent: bool) {
         if silent {
             self.began.entry(group).or_insert(now);
-        } else if count.part() <= 1.0 - BACK {
-            self.began.remove(&group);
+        } else if count.part() <= 1.0 - BACK && self.began.remove(&group).is_some() {
+            // Workers find their way back one after the other: each tries every
+            // controller, and waits in between.
+            self.back.insert(group, now.plus(self.bounds.limit_s));
         }
     }
 
@@ -226,7 +237,7 @@
         }
         let shield = [Group::Ours, Group::Zone(s.zone), Group::Kind(s.kind)]
             .into_iter()
-            .find(|g| self.began.contains_key(g));
+            .find(|g| self.began.contains_key(g) || self.back.contains_key(g));
         // Dead or cut: nobody can tell. The wait is bounded, by the silence of
         // each machine, so that one which falls silent late has its time too.
         if let Some(group) = shield.filter(|_| s.quiet_s <= self.bounds.shield_s) {
@@ -326,6 +337,19 @@
         assert_eq!(back.len(), 300);
     }
 
+    /// Guards against giving back the last of a zone that is coming back.
+    #[test]
+    fn the_last_to_come_back_have_time() {
+        let mut s = Suspicion::new(bounds());
+        let zone = |back: u32| move |i: u32| if i % 2 == 1 && i > back { 30.0 } else { 1.0 };
+        s.look(at(0.0), OVERDUE_S, &fleet(200, zone(0)));
+        let look = s.look(at(1.0), OVERDUE_S, &fleet(200, zone(180)));
+        assert!(look.groups.is_empty());
+        assert_eq!(count(&look, Finding::Silent), 0);
+        let look = s.look(at(17.0), OVERDUE_S, &fleet(200, zone(180)));
+        assert_eq!(count(&look, Finding::Silent), 10, "not for ever");
+    }
+
     #[test]
     fn a_tenth_of_the_fleet_that_dies_is_seen_within_seconds() {
         let mut s = Suspicion::new(bounds());
