--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -202,6 +202,7 @@
     let rows = rows
         .iter()
         .map(|n| {
+            let stuck = n.stuck_ago_s.map(|s| format!("stuck {s:.0} s ago"));
             let mut state = Vec::new();
             if n.answering {
                 state.push("answers");
@@ -212,6 +213,7 @@
             if n.drained {
                 state.push("drained");
             }
+            state.extend(stuck.as_deref());
             if n.heard_s.is_none() {
                 state.push("never heard");
             }
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -306,6 +306,11 @@
         &self.shapes
     }
 
+    /// Machines behind a link that is taken for broken.
+    pub fn shielded(&self) -> usize {
+        self.term.as_ref().map_or(0, |t| t.shielded.len())
+    }
+
     /// How our link to the machines looked last: what is heard here and elsewhere.
     pub fn link(&self) -> Link {
         self.term.as_ref().map(|t| t.link).unwrap_or_default()
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -83,8 +83,8 @@
     /// What peers say they hear, for when we hold the block.
     elsewhere: Hearsay,
     stall: Stall,
-    /// When a peer last said that it was stuck as a holder.
-    peer_stuck: Option<Time>,
+    /// Who was found stuck as a holder, and when.
+    stuck: BTreeMap<String, Time>,
     directives: Directives,
     /// None where no operators' address is set.
     desk: Option<Desk>,
@@ -133,7 +133,7 @@
             told_visitors: Time::default(),
             elsewhere: Hearsay::default(),
             stall: Stall::new(stuck_after_s(&settings)),
-            peer_stuck: None,
+            stuck: BTreeMap::new(),
             directives: Directives::default(),
             metrics: Metrics::new(desk.is_some()),
             desk,
@@ -209,6 +209,8 @@
         let age = self.ledger_age(now);
         if self.drained() && self.peers.successor(now) {
             refuse(out, id, 503, "operators have drained this controller");
+        } else if self.stall.stuck_s(now).is_some() && self.peers.others_reach_ledger(now) {
+            refuse(out, id, 503, "this controller is stuck");
         } else if age > 2.5 && self.peers.others_reach_ledger(now)
             || !self.book.loaded() && now.since(self.started) < 5.0
         {
@@ -415,8 +417,9 @@
                 }
                 self.fleet.begin_term(now, token, &self.operator, &self.settings);
                 self.elsewhere = Hearsay::default();
-                let stuck = |at: Time| now.since(at) < stuck_after_s(&self.settings) * 6.0;
-                if let (Some(place), true) = (&mut self.place, self.peer_stuck.is_some_and(stuck)) {
+                let long = stuck_after_s(&self.settings) * 6.0;
+                let stuck = self.stuck.values().any(|at| now.since(*at) < long);
+                if let (Some(place), true) = (&mut self.place, stuck) {
                     place.begin_small();
                 }
                 self.ledger.set_share(holder_share(&self.settings));
@@ -455,7 +458,9 @@
             }
             Frame::Stuck { label } => {
                 tracing::warn!("{label} was stuck as the holder");
-                self.peer_stuck = Some(now);
+                if self.settings.members.iter().any(|m| m.label == label) {
+                    self.stuck.insert(label, now);
+                }
             }
             Frame::Holds { label, token } => {
                 if self.peers.token_of(&label) != Some(token) {
@@ -581,12 +586,14 @@
             "stuck: the state service answers, there is work, and nothing was committed for {:.0} s",
             self.stall.stuck_s(now).unwrap_or_default()
         );
+        self.stuck.insert(self.settings.label.clone(), now);
         if self.settings.members.is_empty() || !self.peers.others_reach_ledger(now) {
             if let Some(place) = &mut self.place {
                 place.begin_small();
             }
             return;
         }
+        self.stall.handed_over();
         let stuck = Frame::Stuck { label: self.settings.label.clone() };
         out.push(Out::Tell { to: None, frame: encode(&stuck) });
         let standing = self.leader.step_back(now, &mut self.ledger);
--- a/crates/controller/src/node/operators.rs
+++ b/crates/controller/src/node/operators.rs
@@ -403,6 +403,7 @@
             heard_s: Some(0.0),
             ready: self.book.loaded(),
             drained: self.directives.standing().node_drained(own),
+            stuck_ago_s: self.stuck.get(own).map(|at| now.since(*at)),
         };
         let others = self.settings.members.iter().map(|m| {
             let told = self.peers.told(now, &m.label);
@@ -418,6 +419,7 @@
                     heard < 3.0 && (ready || age < 3.0)
                 }),
                 drained: self.directives.standing().node_drained(&m.label),
+                stuck_ago_s: self.stuck.get(&m.label).map(|at| now.since(*at)),
             }
         });
         std::iter::once(me).chain(others).collect()
@@ -495,6 +497,8 @@
         let mut gauges = vec![
             ("holder", f64::from(u8::from(self.place.is_some()))),
             ("jobs_known", self.book.iter().count() as f64),
+            ("stuck_seconds", self.stall.stuck_s(now).unwrap_or(0.0)),
+            ("machines_shielded", self.fleet.shielded() as f64),
             ("ledger_age_seconds", self.ledger.last_ok().map_or(-1.0, |t| now.since(t))),
         ];
         let mut counters = Vec::new();
--- a/crates/operators/src/messages.rs
+++ b/crates/operators/src/messages.rs
@@ -419,6 +419,10 @@
     /// Its copy of the jobs is whole: it could take over.
     pub ready: bool,
     pub drained: bool,
+    /// Seconds since it was last found stuck as the holder: work was there, the
+    /// state service answered, and nothing was committed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stuck_ago_s: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -3,6 +3,7 @@
 //! the protocol. After every step the protocol's rules are checked against
 //! what really is on the machines, not against what the controllers believe.
 
+use crate::rules::OnMachines;
 use beamhinge_controller::faults::Faults;
 use beamhinge_controller::node::Node;
 use beamhinge_operators::messages::What as Decided;
@@ -174,6 +175,7 @@
     pub explained_until: Us,
     pub tally: Tally,
     checked: Us,
+    on_machines: OnMachines,
     faults: Faults,
     /// Machines with a lower number were there from the start.
     pub owned: u64,
@@ -219,6 +221,7 @@
             explained_until: 0,
             tally: Tally::default(),
             checked: 0,
+            on_machines: OnMachines::default(),
             lose_replies: 0.0,
             late: 0.0,
             doubles: Doubles::default(),
@@ -357,8 +360,16 @@
                     }
                     None => event,
                 };
+                let machine = match &event {
+                    Event::ToWorker { machine, .. }
+                    | Event::Report { machine }
+                    | Event::ReportAnswered { machine, .. }
+                    | Event::ReportTimedOut { machine, .. }
+                    | Event::WorkerStep { machine } => Some(*machine),
+                    _ => None,
+                };
                 self.handle(event);
-                self.look_around();
+                self.look_around(machine);
             }
         }
         self.now = self.now.max(end);
@@ -378,16 +389,15 @@
 
     /// The rules are about what is on machines: they are looked at whenever that
     /// changed, and each second for what only time breaks.
-    fn look_around(&mut self) {
-        let changed = self.workers.values().any(|w| !w.events.is_empty() || w.expired > 0);
-        let due = self.now >= self.checked + SECOND;
+    fn look_around(&mut self, machine: Option<u64>) {
         if self.holder().is_some() || self.led == 0 {
             self.led = self.now;
         }
         self.leaderless = self.leaderless.max(self.now - self.led);
-        if changed || due {
+        machine.into_iter().for_each(|m| self.refresh(m));
+        if self.now >= self.checked + SECOND {
             self.checked = self.now;
-            self.check();
+            self.look_at_the_clock();
         }
     }
 
@@ -782,7 +792,7 @@
 
     /// The cloud takes a machine back since a controller asked for it.
     fn given_back(&mut self, node: usize, machine: u64, late: bool) {
-        let Some(w) = self.workers.remove(&machine) else { return };
+        let Some(w) = self.lose(machine) else { return };
         let ill = self.now < w.hang_until
             || self.now < w.cut_until
             || w.sick
@@ -812,7 +822,7 @@
 
     /// The machine stops with all that is on it; the cloud notices later.
     pub fn die(&mut self, machine: u64) {
-        self.workers.remove(&machine);
+        self.lose(machine);
         if let Some(h) = self.cloud.hosts.get_mut(&machine) {
             h.failed_at = Some(self.now + 30 * SECOND);
         }
@@ -876,90 +886,57 @@
         }
     }
 
-    /// The protocol's rules about what is on machines.
-    fn check(&mut self) {
-        let mut on: BTreeMap<&str, (u64, u32)> = BTreeMap::new();
-        let mut team: BTreeMap<&str, f64> = BTreeMap::new();
-        let mut broken: Vec<(&str, String)> = Vec::new();
-        let mut zones: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
-        for (machine, w) in &self.workers {
-            for t in w.on_machine() {
-                let slot = on.entry(&t.piece).or_insert((*machine, 0));
-                slot.1 += 1;
-                if slot.1 > 1 {
-                    broken.push((
-                        "ran_twice",
-                        format!("{} on n-{} and n-{machine}", t.piece, slot.0),
-                    ));
-                }
-                let job = t.piece.split('/').next().unwrap_or("");
-                let Some(plan) = self.jobs.get(job) else { continue };
-                let owner = plan.body["owner"].as_str().unwrap_or("");
-                *team.entry(owner).or_default() += plan.body["vcpus"].as_f64().unwrap_or(0.0);
-                *zones.entry(job).or_default().entry(&w.zone).or_default() += 1;
-                if w.spot && !plan.body["loaners"].as_bool().unwrap_or(true) {
-                    broken.push(("wrong_place", t.piece.clone()));
-                }
-                if plan.body["yard"].as_str().is_some_and(|z| z != w.zone) {
-                    broken.push(("wrong_place", t.piece.clone()));
-                }
-                if let Some(at) = self.told.get(job).and_then(|t| t.cancelled) {
-                    let cancel_s = self.settings[0].params.workers.cancel_s;
-                    if self.now > at + (cancel_s * 1e6) as u64 {
-                        broken.push(("ran_cancelled", t.piece.clone()));
-                    }
-                }
-            }
+    /// Takes in what happened on a machine, and looks at the rules.
+    fn refresh(&mut self, machine: u64) {
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        if !w.abused.is_empty() {
+            self.state.abused.append(&mut w.abused);
         }
-        for (job, by_zone) in &zones {
-            let Some(plan) = self.jobs.get(*job) else { continue };
-            let pieces = plan.body["pieces"].as_u64().unwrap_or(0);
-            if plan.body["oneZone"].as_bool() == Some(true) && by_zone.len() > 1 {
-                broken.push(("wrong_place", (*job).to_string()));
-            }
-            if plan.body["apart"].as_bool() == Some(true)
-                && by_zone.values().any(|n| *n > pieces.div_ceil(2))
-            {
-                broken.push(("wrong_place", (*job).to_string()));
-            }
+        if w.events.is_empty() && w.expired == 0 && w.finished.is_empty() {
+            return;
+        }
+        let pieces = w.on_machine().map(|t| t.piece.clone()).collect();
+        let teams = &self.settings[0].params.teams;
+        let limit = |name: &str| teams.iter().find(|t| t.name == name).map_or(0.0, |t| t.cpus_max);
+        let broken = self.on_machines.set(machine, &w.zone, w.spot, pieces, &self.jobs, limit);
+        let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
+        let expired = std::mem::take(&mut w.expired);
+        self.tally.expired += expired;
+        let ill = self.now < w.hang_until.max(w.cut_until) + lease;
+        if expired > 0 && !ill && self.now > self.explained_until {
+            self.tally.unexplained += expired;
         }
-        for (name, used) in team {
-            let limit = self.settings[0]
-                .params
-                .teams
-                .iter()
-                .find(|t| t.name == name)
-                .map_or(0.0, |t| t.cpus_max);
-            if limit > 0.0 && used > limit + 1e-6 {
-                broken.push(("quota", format!("{name} uses {used}")));
+        self.started += std::mem::take(&mut w.started);
+        w.events.clear();
+        // Results are kept outside the machines.
+        for piece in w.finished.drain(..) {
+            if let Some((job, index)) = piece.split_once('/') {
+                self.results.entry(job.to_string()).or_default().insert(index.to_string());
             }
         }
-        let broken: Vec<(String, String)> =
-            broken.into_iter().map(|(r, w)| (r.to_string(), w)).collect();
         for (rule, what) in broken {
-            self.break_rule(&rule, &what);
+            self.break_rule(rule, &what);
         }
-        self.gather_done();
     }
 
-    /// Results are kept outside the machines.
-    fn gather_done(&mut self) {
-        let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
-        for w in self.workers.values_mut() {
-            let expired = std::mem::take(&mut w.expired);
-            self.tally.expired += expired;
-            let ill = self.now < w.hang_until.max(w.cut_until) + lease;
-            if expired > 0 && !ill && self.now > self.explained_until {
-                self.tally.unexplained += expired;
-            }
-            self.started += std::mem::take(&mut w.started);
-            self.state.abused.append(&mut w.abused);
-            w.events.clear();
-            for piece in w.finished.drain(..) {
-                if let Some((job, index)) = piece.split_once('/') {
-                    self.results.entry(job.to_string()).or_default().insert(index.to_string());
-                }
-            }
+    /// The machine is gone, whoever took it.
+    pub fn lose(&mut self, machine: u64) -> Option<Worker> {
+        self.refresh(machine);
+        self.on_machines.remove(machine, &self.jobs);
+        self.workers.remove(&machine)
+    }
+
+    /// What only time breaks.
+    fn look_at_the_clock(&mut self) {
+        let cancel = (self.settings[0].params.workers.cancel_s * 1e6) as Us;
+        let late = |job: &str| {
+            let told = self.told.get(job).and_then(|t| t.cancelled);
+            told.is_some_and(|at| self.now > at + cancel)
+        };
+        let jobs = self.on_machines.jobs().filter(|(job, _)| late(job));
+        let broken: Vec<String> = jobs.map(|(_, piece)| piece.to_string()).collect();
+        for piece in broken {
+            self.break_rule("ran_cancelled", &piece);
         }
     }
 }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod cluster;
 pub mod days;
+pub mod rules;
 pub mod scenario;
--- /dev/null
+++ b/crates/sim/src/rules.rs
@@ -0,0 +1,149 @@
+//! The protocol's rules about what is on machines, kept up with each change.
+
+use beamhinge_standins::JobPlan;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A rule that was broken, and by what.
+pub type Broken = (&'static str, String);
+
+#[derive(Default)]
+struct Use {
+    zones: BTreeMap<String, u64>,
+    pieces: BTreeSet<String>,
+}
+
+/// What really is on the machines, whatever the controllers believe.
+///
+/// Looked at by machine: a change costs what it touches, not the whole fleet.
+#[derive(Default)]
+pub struct OnMachines {
+    of: BTreeMap<u64, (String, Vec<String>)>,
+    on: HashMap<String, BTreeSet<u64>>,
+    jobs: BTreeMap<String, Use>,
+    teams: BTreeMap<String, f64>,
+}
+
+fn job_of(piece: &str) -> &str {
+    piece.split('/').next().unwrap_or("")
+}
+
+impl OnMachines {
+    /// This is on a machine now; says which rules that breaks.
+    pub fn set(
+        &mut self,
+        machine: u64,
+        zone: &str,
+        spot: bool,
+        pieces: Vec<String>,
+        plans: &BTreeMap<String, JobPlan>,
+        limit: impl Fn(&str) -> f64,
+    ) -> Vec<Broken> {
+        self.remove(machine, plans);
+        let mut broken = Vec::new();
+        for piece in &pieces {
+            let on = self.on.entry(piece.clone()).or_default();
+            if !on.insert(machine) || on.len() > 1 {
+                broken.push(("ran_twice", format!("{piece} on {on:?}")));
+            }
+            let job = job_of(piece);
+            let Some(plan) = plans.get(job) else { continue };
+            let body = &plan.body;
+            let owner = body["owner"].as_str().unwrap_or("");
+            let used = self.teams.entry(owner.to_string()).or_default();
+            *used += body["vcpus"].as_f64().unwrap_or(0.0);
+            let most = limit(owner);
+            if most > 0.0 && *used > most + 1e-6 {
+                broken.push(("quota", format!("{owner} uses {used}")));
+            }
+            let of = self.jobs.entry(job.to_string()).or_default();
+            of.pieces.insert(piece.clone());
+            *of.zones.entry(zone.to_string()).or_default() += 1;
+            let total = body["pieces"].as_u64().unwrap_or(0);
+            let wrong = spot && !body["loaners"].as_bool().unwrap_or(true)
+                || body["yard"].as_str().is_some_and(|z| z != zone)
+                || body["oneZone"].as_bool() == Some(true) && of.zones.len() > 1
+                || body["apart"].as_bool() == Some(true)
+                    && of.zones.values().any(|n| *n > total.div_ceil(2));
+            if wrong {
+                broken.push(("wrong_place", piece.clone()));
+            }
+        }
+        self.of.insert(machine, (zone.to_string(), pieces));
+        broken
+    }
+
+    /// The machine is gone, with all that was on it.
+    pub fn remove(&mut self, machine: u64, plans: &BTreeMap<String, JobPlan>) {
+        let Some((zone, pieces)) = self.of.remove(&machine) else { return };
+        for piece in pieces {
+            if let Some(on) = self.on.get_mut(&piece) {
+                on.remove(&machine);
+                if on.is_empty() {
+                    self.on.remove(&piece);
+                }
+            }
+            let job = job_of(&piece);
+            let Some(plan) = plans.get(job) else { continue };
+            let owner = plan.body["owner"].as_str().unwrap_or("");
+            if let Some(used) = self.teams.get_mut(owner) {
+                *used -= plan.body["vcpus"].as_f64().unwrap_or(0.0);
+            }
+            if let Some(of) = self.jobs.get_mut(job) {
+                of.pieces.remove(&piece);
+                if let Some(n) = of.zones.get_mut(&zone) {
+                    *n -= 1;
+                    if *n == 0 {
+                        of.zones.remove(&zone);
+                    }
+                }
+                if of.zones.is_empty() {
+                    self.jobs.remove(job);
+                }
+            }
+        }
+    }
+
+    /// Jobs with a task on a machine, and one of these.
+    pub fn jobs(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.jobs
+            .iter()
+            .map(|(job, of)| (job.as_str(), of.pieces.first().map_or("", String::as_str)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn plans() -> BTreeMap<String, JobPlan> {
+        let plan = |body| JobPlan { body, run_s: 1.0, fails: false, command: None };
+        [
+            ("job-1", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "apart": true})),
+            ("job-2", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "oneZone": true})),
+            ("job-3", json!({"owner": "two", "vcpus": 1.0, "pieces": 4, "loaners": false})),
+        ]
+        .map(|(id, body)| (id.to_string(), plan(body)))
+        .into()
+    }
+
+    #[test]
+    fn each_rule_can_be_broken_and_what_left_counts_no_more() {
+        let (plans, mut on) = (plans(), OnMachines::default());
+        let mut set = |m: u64, zone: &str, pieces: &[&str]| -> Vec<&'static str> {
+            let pieces = pieces.iter().map(|p| (*p).to_string()).collect();
+            let limit = |t: &str| if t == "one" { 12.0 } else { 0.0 };
+            let broken = on.set(m, zone, true, pieces, &plans, limit);
+            broken.into_iter().map(|(rule, _)| rule).collect()
+        };
+        assert!(set(1, "north", &["job-1/0", "job-1/1"]).is_empty());
+        assert_eq!(set(2, "south", &["job-1/0"]), ["ran_twice"]);
+        assert!(set(2, "south", &["job-1/2"]).is_empty());
+        assert_eq!(set(3, "south", &["job-1/3"]), ["quota"]);
+        assert!(set(3, "south", &[]).is_empty());
+        assert_eq!(set(1, "north", &["job-1/0", "job-1/1", "job-1/3"]), ["quota", "wrong_place"]);
+        assert!(set(1, "north", &["job-2/0"]).is_empty());
+        assert_eq!(set(3, "south", &["job-2/1"]), ["wrong_place"]);
+        assert_eq!(set(4, "south", &["job-3/1"]), ["wrong_place"]);
+    }
+}
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -250,6 +250,7 @@
             sim.explain_until(until);
         }
         "cloud-down" => sim.cloud.down_until = sim.now + seconds(arg(1)?)?,
+        "refuse-pages" => sim.state.refuses = ("p/", sim.now + seconds(arg(1)?)?),
         "lose-replies" => sim.lose_replies = number(words, "part", 0.2)?,
         "late-commits" => sim.late = number(words, "part", 0.2)?,
         "calm" => (sim.lose_replies, sim.late) = (0.0, 0.0),
@@ -281,7 +282,7 @@
                 }
                 if what == "take" {
                     sim.cloud.hosts.remove(&id);
-                    sim.workers.remove(&id);
+                    sim.lose(id);
                     continue;
                 }
                 let Some(w) = sim.workers.get_mut(&id) else { continue };
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -25,6 +25,8 @@
     next_lease: u64,
     waiting: Vec<(Caller, String, u64, Us)>,
     pub down_until: Us,
+    /// Writes of keys that begin so are called malformed, until then.
+    pub refuses: (&'static str, Us),
     limits: (f64, f64),
     levels: (f64, f64),
     filled: Us,
@@ -60,6 +62,7 @@
             next_lease: 0,
             waiting: Vec::new(),
             down_until: 0,
+            refuses: ("", 0),
             limits: (rps, write_rps),
             levels: (rps, write_rps),
             filled: 0,
@@ -316,6 +319,9 @@
         }
         for t in then {
             let key = t["write"].as_str().or(t["delete"].as_str()).unwrap_or("");
+            if now < self.refuses.1 && key.starts_with(self.refuses.0) {
+                return say(400, json!({"error": "so it is"}));
+            }
             if !when.iter().any(|w| w["path"] == key) {
                 self.abused.push(format!("{key} is written without a condition on it"));
             }
--- a/crates/suspicion/src/stall.rs
+++ b/crates/suspicion/src/stall.rs
@@ -2,6 +2,9 @@
 
 use beamhinge_vocab::types::Time;
 
+/// Longest patience, seconds.
+const LONGEST_S: f64 = 300.0;
+
 /// What a holder finds at some moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -50,6 +53,13 @@
         news
     }
 
+    /// Handed over: the next time more patience is due, or a fault that all
+    /// share would send the lead round for ever.
+    pub fn handed_over(&mut self) {
+        self.patience_s = (self.patience_s * 2.0).min(LONGEST_S);
+        (self.since, self.told) = (None, false);
+    }
+
     /// Seconds for which it has been stuck.
     pub fn stuck_s(&self, now: Time) -> Option<f64> {
         let s = now.since(self.since?);
@@ -81,5 +91,8 @@
         assert!(s.stuck_s(at(140.0)).is_some_and(|t| t > 30.0));
         assert_eq!(run(&mut s, work(140.0), 140, 142), 0);
         assert!(s.stuck_s(at(142.0)).is_none());
+        s.handed_over();
+        assert_eq!(run(&mut s, work(140.0), 142, 158), 0, "twice the patience");
+        assert_eq!(run(&mut s, work(140.0), 158, 170), 1);
     }
 }
