--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -265,6 +265,16 @@
             return;
         }
         self.turn = (self.turn + 1) % KINDS.len();
+        tracing::debug!(
+            finals = flying.finals.len(),
+            pages = flying.pages.len(),
+            rows = flying.pages.iter().map(|(_, rows)| rows.len()).sum::<usize>(),
+            shelves = flying.shelved.written_shelves().count(),
+            removals = flying.dead.len(),
+            left = self.plans.len(),
+            dead = self.pages.dead_count(),
+            "commit"
+        );
         self.flying = Some(flying);
         self.retry_at = now.plus(0.02);
         ledger.commit(now, Priority::Place, Tag::Place(PlaceCall::Commit), txn);
