--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -175,6 +175,8 @@
     pub explained_until: Us,
     pub tally: Tally,
     checked: Us,
+    /// When the watches are looked at next.
+    next_watch: Us,
     on_machines: OnMachines,
     faults: Faults,
     /// Machines with a lower number were there from the start.
@@ -221,6 +223,7 @@
             explained_until: 0,
             tally: Tally::default(),
             checked: 0,
+            next_watch: Us::MAX,
             on_machines: OnMachines::default(),
             lose_replies: 0.0,
             late: 0.0,
@@ -550,9 +553,13 @@
                 if self.doubles.forgets_jobs {
                     self.state.forget_jobs(self.now);
                 }
-                self.push(self.now, Event::Watch);
+                self.watch_at(self.now);
             }
             Event::Watch => {
+                if self.next_watch > self.now {
+                    return;
+                }
+                self.next_watch = Us::MAX;
                 let (ready, next) = self.state.watches(self.now);
                 for ((node, life, call), body) in ready {
                     if let Some(at) = self.passes(node, Far::State, self.now + 2_000) {
@@ -561,7 +568,7 @@
                     }
                 }
                 if let Some(next) = next {
-                    self.push(next.max(self.now + 1_000), Event::Watch);
+                    self.watch_at(next.max(self.now + 1_000));
                 }
             }
             Event::ToCloud { node, life, call, method, path, body, late } => {
@@ -782,6 +789,15 @@
         }
     }
 
+    /// Looks at the watches then, or before: one event at a time, or each request
+    /// would add another that comes again for ever.
+    pub fn watch_at(&mut self, at: Us) {
+        if at < self.next_watch {
+            self.next_watch = at;
+            self.push(at, Event::Watch);
+        }
+    }
+
     /// How much longer the state service takes now, in microseconds.
     fn state_delay(&self) -> Us {
         match self.state_slow {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -246,7 +246,7 @@
         "state-down" => {
             let until = sim.now + seconds(arg(1)?)?;
             sim.state.outage(until);
-            sim.push(until, Event::Watch);
+            sim.watch_at(until);
             sim.explain_until(until);
         }
         "cloud-down" => sim.cloud.down_until = sim.now + seconds(arg(1)?)?,
