Workers give their sockets up between reports when these run short

Cause: aber at three times its machines: 3,837 workers kept 3,212 sockets open; the rest could not report and users found no node (546 refused). Change: above four fifths of the limit a worker's answer closes the connection. Below that crowd nothing changes (1,370 of 3,212 sockets at 1,279 machines).

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -326,8 +326,7 @@
 
     fn accept(&mut self, door: Option<usize>) {
         let limit = self.wiring.max_connections;
-        // Sockets kept for peers, the state service, the cloud and workers.
-        let reserve = (STATE_CONNS + CLOUD_CONNS + 16).min(limit / 3);
+        let reserve = self.reserve();
         for _ in 0..64 {
             let listener = match door {
                 Some(d) => self.doors.get(d).and_then(Option::as_ref),
@@ -365,6 +364,19 @@
         }
     }
 
+    /// Sockets kept for peers, the state service, the cloud and workers.
+    fn reserve(&self) -> usize {
+        (STATE_CONNS + CLOUD_CONNS + 16).min(self.wiring.max_connections / 3)
+    }
+
+    /// So many sockets are taken that workers give theirs up between reports.
+    ///
+    /// More machines than sockets kept all of them open once: the rest could not
+    /// report, and users found no node.
+    fn crowded(&self) -> bool {
+        (self.open + self.reserve()) * 5 > self.wiring.max_connections * 4
+    }
+
     /// Tries those doors again that could not be opened.
     fn open_doors(&mut self, now: Time) {
         if now.since(self.knocked) < REOPEN_S || self.doors.iter().all(Option::is_some) {
@@ -728,6 +740,7 @@
         body: &[u8],
     ) {
         let now = self.now();
+        let crowded = self.crowded();
         let Some(conn) = self.conns.get_mut(to.slot).and_then(Option::as_mut) else { return };
         // The slot may serve another connection by now.
         if conn.generation != to.generation {
@@ -741,7 +754,7 @@
         conn.active = now;
         // The load balancer never moves an open connection: a user told to come
         // back does better with a new one, perhaps to a node that can answer.
-        *close |= status == 503 && !*worker;
+        *close |= status == 503 && !*worker || crowded && *worker;
         let closing = *close;
         http::write_response(&mut conn.outbuf, status, retry_after, closing, content, body);
         let more = !conn.inbuf.is_empty();
@@ -868,6 +881,46 @@
         drop(taken);
     }
 
+    /// More machines than sockets: each is served, since they take turns.
+    #[test]
+    fn workers_take_turns_when_sockets_run_short() {
+        let addr = free_address();
+        let nowhere = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
+        let wiring = Wiring {
+            doors: vec![Door { addr, kind: DoorKind::Platform }],
+            peers: None,
+            members: Vec::new(),
+            external: External { cloud: nowhere, state: nowhere },
+            max_connections: 60,
+        };
+        let (served, go) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(true)));
+        let (count, running) = (served.clone(), go.clone());
+        let thread = std::thread::spawn(move || {
+            let net = Net::new(wiring, |_| Talker(count)).expect("listens");
+            net.run_while(|| running.load(Ordering::Relaxed)).expect("runs");
+        });
+        let until = Instant::now() + Duration::from_secs(20);
+        let (mut kept, mut closed) = (Vec::new(), 0);
+        while kept.len() + closed < 150 && Instant::now() < until {
+            let Ok(mut stream) = TcpStream::connect(addr) else { continue };
+            let sent = stream.write_all(b"POST /hello HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+            let mut answer = [0u8; 512];
+            let n = match sent.and_then(|()| stream.read(&mut answer)) {
+                Ok(n) if n > 0 => n,
+                _ => continue,
+            };
+            let text = String::from_utf8_lossy(&answer[..n]).to_lowercase();
+            match text.contains("connection: close") {
+                true => closed += 1,
+                false => kept.push(stream),
+            }
+        }
+        go.store(false, Ordering::Relaxed);
+        thread.join().expect("ended");
+        assert_eq!(kept.len() + closed, 150, "all were served");
+        assert!(closed > 100 && kept.len() < 60, "{closed} closed, {} kept", kept.len());
+    }
+
     /// A client that pipelines and never reads once had all its answers kept.
     #[test]
     fn answers_wait_for_their_reader() {
