What the cloud calls malformed is not asked for alike again; answers are bounded

Need: rentals refused as malformed were wanted, recorded and sent anew twice a second; a release of a hundred names, one of them bad, kept all hundred; an answer to a worker had no bound.

--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -38,6 +38,8 @@
 /// How long an on-demand machine that no split needs may stand idle.
 const ORDINARY_IDLE_S: f64 = 8.0;
 const MOST_PER_RELEASE: usize = 100;
+/// How long a market is left alone that calls a rental malformed.
+const MALFORMED_S: f64 = 60.0;
 
 /// How long silence is borne, by the settings.
 fn bounds(settings: &Settings) -> Bounds {
@@ -243,6 +245,8 @@
     retry_at: Time,
     /// How the record of rentals is tried again.
     course: Course,
+    /// How releases are.
+    releases: Course,
     decided: Time,
     /// When machines to return were last looked for.
     returned: Time,
@@ -342,6 +346,7 @@
             released: BTreeMap::new(),
             retry_at: Time::default(),
             course: Course::new(0.2, 5.0),
+            releases: Course::new(1.0, 8.0),
             decided: Time::default(),
             returned: Time::default(),
             owned: None,
@@ -425,13 +430,14 @@
         }
         let mut batch = Vec::new();
         // Not after every report: that would cost the whole fleet each time.
-        if now.since(term.returned) >= 0.1 && now >= term.retry_at {
+        if now.since(term.returned) >= 0.1 && term.releases.due(now) {
             term.returned = now;
             let wanted = term
                 .instances
                 .iter_mut()
                 .filter(|(_, i)| matches!(i.release, Release::Wanted | Release::Silent));
-            for (id, i) in wanted.take(MOST_PER_RELEASE) {
+            let most = (MOST_PER_RELEASE / term.releases.part()).max(1);
+            for (id, i) in wanted.take(most) {
                 i.release = Release::Flying;
                 batch.push(*id);
             }
@@ -617,8 +623,12 @@
                         self.level = self.level.min(0.0);
                     }
                     Some((400, _)) => {
+                        // The same under another name would be refused again,
+                        // twice a second and with a write each time.
                         tracing::error!("the cloud calls rental {name} malformed");
-                        term.rentals.remove(at);
+                        let r = term.rentals.remove(at);
+                        let key = (r.shape, r.row.zone, r.row.spot);
+                        term.refused.insert(key, now.plus(MALFORMED_S));
                     }
                     // A lost reply: the same name again rents nothing twice.
                     _ => {
@@ -641,13 +651,26 @@
                         term.instances.remove(&id);
                         term.released.insert(id, now);
                     }
+                    term.releases.succeeded();
+                    return;
+                }
+                let malformed = matches!(&result, Some((400, _)));
+                let aside = if malformed {
+                    term.releases.malformed(now) == Next::Aside
                 } else {
-                    for id in ids {
-                        if let Some(i) = term.instances.get_mut(&id) {
-                            i.release = Release::Wanted;
-                        }
+                    term.releases.busy(now);
+                    false
+                };
+                if aside {
+                    // What the cloud will not take back keeps no other machine.
+                    tracing::error!("the cloud refuses the release of {ids:?}; they are left");
+                    term.releases.succeeded();
+                    return;
+                }
+                for id in ids {
+                    if let Some(i) = term.instances.get_mut(&id) {
+                        i.release = Release::Wanted;
                     }
-                    term.retry_at = now.plus(1.0);
                 }
             }
         }
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -17,6 +17,8 @@
 const LEAD_PREFIX: &str = "lead/";
 /// How long a leader that stepped back leaves the lead to others.
 const STAND_BACK_S: f64 = 8.0;
+/// After a take that the state service calls malformed; others may do better.
+const MALFORMED_S: f64 = 5.0;
 pub const BLOCK: &str = "block/0";
 const BLOCK_PREFIX: &str = "block/";
 
@@ -384,6 +386,10 @@
                         self.reread(now);
                     }
                     Outcome::NoLease => self.permit = None,
+                    Outcome::Malformed => {
+                        self.reread(now);
+                        self.retry_at = now.plus(MALFORMED_S);
+                    }
                     _ => self.reread(now),
                 }
             }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -3,6 +3,10 @@
 use super::*;
 use std::cmp::Reverse;
 
+/// Orders of one answer: it may hold 64 KiB. What is left out is still wanted, and
+/// goes with the next.
+const MOST_ORDERS: usize = 400;
+
 /// For so long strangers are counted before they are told of, seconds.
 const STRANGERS_S: f64 = 5.0;
 
@@ -337,10 +341,13 @@
                 }
             }
         }
-        for (task, attempt) in &m.ghosts {
+        for (task, attempt) in m.ghosts.iter().take(MOST_ORDERS) {
             orders.push(order("kill", *task, *attempt, Some(0.0)));
         }
         for p in report.pieces.iter().filter(|p| p.status == "exited") {
+            if orders.len() >= MOST_ORDERS {
+                break;
+            }
             let Some(task) = TaskId::parse(&p.piece) else { continue };
             if self.entry(id, task).is_some_and(|e| e.attempt.0 == p.attempt) {
                 continue;
@@ -352,7 +359,7 @@
         self.stops.remove(&id);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in m.entries.iter().filter(|(_, e)| e.kill.is_some()) {
-            if matches!(e.state, State::Seen(_)) {
+            if orders.len() < MOST_ORDERS && matches!(e.state, State::Seen(_)) {
                 orders.push(order("kill", *task, e.attempt, e.kill));
             }
         }
@@ -369,6 +376,9 @@
             .collect();
         runs.sort_by_key(|(t, e)| (e.ahead.is_some(), Reverse(urgency(t)), e.attempt));
         for (task, e) in runs {
+            if orders.len() >= MOST_ORDERS {
+                break;
+            }
             // Guard 2: `run` only after the commit, only while the job is
             // open, and only in this answer, which cannot act late.
             let open = book.get(task.job).is_some_and(|b| b.state == JobState::Open);
@@ -521,3 +531,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an answer that a worker cannot take: it would report the
+    /// same again, and get the same again.
+    #[test]
+    fn the_longest_answer_fits_its_limit() {
+        let task = TaskId::parse("job-123456789012345678/99999").expect("a task");
+        let orders: Vec<Order> =
+            (0..MOST_ORDERS).map(|_| order("kill", task, Attempt(u64::MAX), Some(12.5))).collect();
+        let body = wire::encode(&orders);
+        let value: ciborium::Value = wire::decode(&body).expect("sound");
+        assert!(wire::json_len(&value) + 100 < wire::BODY_LIMIT, "{}", wire::json_len(&value));
+    }
+}
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -250,6 +250,7 @@
             sim.explain_until(until);
         }
         "cloud-down" => sim.cloud.down_until = sim.now + seconds(arg(1)?)?,
+        "refuse-rents" => sim.cloud.refuses_until = sim.now + seconds(arg(1)?)?,
         "refuse-pages" => sim.state.refuses = ("p/", sim.now + seconds(arg(1)?)?),
         "lose-replies" => sim.lose_replies = number(words, "part", 0.2)?,
         "late-commits" => sim.late = number(words, "part", 0.2)?,
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -49,6 +49,8 @@
     /// The part of its capacity that the cloud has to give.
     pub part: f64,
     pub down_until: Us,
+    /// Rentals are called malformed until then.
+    pub refuses_until: Us,
     pub most: u32,
     /// Part of the rental answers that never arrive.
     pub rented: u32,
@@ -83,6 +85,7 @@
             stuck: 0,
             part: 1.0,
             down_until: 0,
+            refuses_until: 0,
             most: 0,
             rented: 0,
             abused: Vec::new(),
@@ -151,6 +154,7 @@
         let reply = match (method, path.split('?').next().unwrap_or("")) {
             (Method::Get, "/flavors") => (200, self.flavors()),
             (Method::Get, "/hosts") => (200, self.list(now, path, rng)),
+            (Method::Post, "/hosts") if now < self.refuses_until => (400, json!({})),
             (Method::Post, "/hosts") => self.rent(now, &decode(body), rng),
             (Method::Post, "/hosts/release") => {
                 for id in decode(body)["hosts"].as_array().into_iter().flatten() {
