--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -43,7 +43,7 @@
 
     pub(super) fn drive_load(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
         let Some(load) = &mut self.load else { return };
-        if load.flying || now < self.retry_at {
+        if load.flying || !self.loads.due(now) {
             return;
         }
         load.flying = true;
@@ -64,13 +64,14 @@
         let Some(load) = &mut self.load else { return };
         load.flying = false;
         let Outcome::Ok(body) = reply.outcome else {
-            self.retry_at = now.plus(0.2);
+            self.loads.busy(now);
             return;
         };
         let Ok(scan) = wire::decode::<Scan>(&body) else {
-            self.retry_at = now.plus(1.0);
+            self.loads.busy(now);
             return;
         };
+        self.loads.succeeded();
         self.moved = now;
         load.after = if scan.more { scan.pairs.last().map(|p| p.path.clone()) } else { None };
         match call {
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -376,6 +376,8 @@
     retry_at: Time,
     /// How a refused transaction is tried again.
     course: Course,
+    /// How the books are read again.
+    loads: Course,
     /// Set aside, and until when.
     aside: BTreeMap<Part, Time>,
     /// Whose turn it is where few writes fit.
@@ -440,6 +442,7 @@
             flying: None,
             retry_at: Time::default(),
             course: Course::new(0.15, 4.0),
+            loads: Course::new(0.2, 2.0),
             aside: BTreeMap::new(),
             turn: 0,
             last_shelf: 0,
--- a/crates/limits/src/txn.rs
+++ b/crates/limits/src/txn.rs
@@ -214,11 +214,6 @@
         self.limits.conditions.saturating_sub(self.when.len())
     }
 
-    /// Whether the transaction compares this key.
-    pub fn compares(&self, key: &str) -> bool {
-        self.when.contains_key(key)
-    }
-
     /// Bytes of the largest value that a write to a new key could still take.
     pub fn value_left(&self, key_bytes: usize) -> usize {
         let around = 2 * key_bytes + CONDITION_BYTES + WRITE_BYTES;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -881,17 +881,20 @@
         drop(taken);
     }
 
-    /// More machines than sockets: each is served, since they take turns.
-    #[test]
-    fn workers_take_turns_when_sockets_run_short() {
+    /// A loop on a thread of its own: its address, what it served, and the word
+    /// that ends it.
+    fn talking(
+        kind: DoorKind,
+        max_connections: usize,
+    ) -> (SocketAddrV4, Arc<AtomicUsize>, Arc<AtomicBool>, std::thread::JoinHandle<()>) {
         let addr = free_address();
         let nowhere = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
         let wiring = Wiring {
-            doors: vec![Door { addr, kind: DoorKind::Platform }],
+            doors: vec![Door { addr, kind }],
             peers: None,
             members: Vec::new(),
             external: External { cloud: nowhere, state: nowhere },
-            max_connections: 60,
+            max_connections,
         };
         let (served, go) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(true)));
         let (count, running) = (served.clone(), go.clone());
@@ -899,6 +902,13 @@
             let net = Net::new(wiring, |_| Talker(count)).expect("listens");
             net.run_while(|| running.load(Ordering::Relaxed)).expect("runs");
         });
+        (addr, served, go, thread)
+    }
+
+    /// More machines than sockets: each is served, since they take turns.
+    #[test]
+    fn workers_take_turns_when_sockets_run_short() {
+        let (addr, _served, go, thread) = talking(DoorKind::Platform, 60);
         let until = Instant::now() + Duration::from_secs(20);
         let (mut kept, mut closed) = (Vec::new(), 0);
         while kept.len() + closed < 150 && Instant::now() < until {
@@ -924,21 +934,7 @@
     /// A client that pipelines and never reads once had all its answers kept.
     #[test]
     fn answers_wait_for_their_reader() {
-        let addr = free_address();
-        let nowhere = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
-        let wiring = Wiring {
-            doors: vec![Door { addr, kind: DoorKind::Operators { most: 4 } }],
-            peers: None,
-            members: Vec::new(),
-            external: External { cloud: nowhere, state: nowhere },
-            max_connections: 200,
-        };
-        let (served, go) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(true)));
-        let (count, running) = (served.clone(), go.clone());
-        let thread = std::thread::spawn(move || {
-            let net = Net::new(wiring, |_| Talker(count)).expect("listens");
-            net.run_while(|| running.load(Ordering::Relaxed)).expect("runs");
-        });
+        let (addr, served, go, thread) = talking(DoorKind::Operators { most: 4 }, 200);
         let until = Instant::now() + Duration::from_secs(20);
         let mut stream = loop {
             match TcpStream::connect(addr) {
