One constructor of planned entries, one bound of a peer's word, one 'was up'

Read once more: an entry was written out twice, the time that a peer's word counts stood in two places, and what counts as up twice in one file. An end that is set aside no longer counts as work that makes a holder stuck: handing over would not help it.

--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -171,7 +171,7 @@
         for (id, i) in &mut self.instances {
             let m = place.machine(*id);
             let heard = m.and_then(|m| m.heard);
-            let was_up = m.is_some_and(|m| !m.is_empty()) || i.status == Status::Running;
+            let was_up = i.was_up(m);
             // It reports again: the return is called off while it can be.
             if i.release == Release::Silent && heard.is_some_and(|h| now.since(h) < limit_s / 2.0) {
                 tracing::info!("{id} reports again and is kept");
@@ -250,16 +250,12 @@
             let boot = shapes.get(i.shape).map_or(60.0, |s| s.boot_s);
             let m = place.machine(*id);
             let never = m.and_then(|m| m.heard).is_none();
-            // What our books have tasks on, or the list calls running, was up
-            // under an earlier holder: if it does not report it is silent, and
-            // may yet wake.
-            let was_up = m.is_some_and(|m| !m.is_empty()) || i.status == Status::Running;
             let why = if i.status == Status::Failed {
                 "failed"
             } else if m.is_some_and(|m| m.sick) {
                 "fails its tasks"
             } else if never
-                && !was_up
+                && !i.was_up(m)
                 && age > boot * 1.9 + 5.0
                 && now.since(self.began) > boot * 0.5 + lease_s
             {
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 use crate::directives::Standing;
 use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan};
 use crate::market::Splits;
-use crate::placement::Placement;
+use crate::placement::{Machine, Placement};
 use crate::split::Shape;
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
@@ -47,11 +47,14 @@
     Bounds {
         limit_s: (w.lease_s * 0.55).max(w.report_s * 3.0),
         shield_s: w.lease_s * 4.0,
-        // A worker that nobody answers tries each controller in turn.
-        word_s: 8.0_f64.max(w.report_s * 1.5),
+        word_s: WORD_S,
     }
 }
 
+/// How long a peer's word on whom it hears counts, seconds: a worker that nobody
+/// answers tries each controller in turn.
+pub const WORD_S: f64 = 8.0;
+
 #[derive(Deserialize)]
 struct Flavors {
     shapes: Vec<Flavor>,
@@ -144,6 +147,14 @@
     release: Release,
 }
 
+impl Instance {
+    /// What our books have tasks on, or the list calls running, was up under an
+    /// earlier holder: if it does not report it is silent, and may yet wake.
+    fn was_up(&self, m: Option<&Machine>) -> bool {
+        self.status == Status::Running || m.is_some_and(|m| !m.is_empty())
+    }
+}
+
 /// What the controller knows of itself when it judges others.
 pub struct Senses<'a> {
     pub presence: &'a Presence,
--- a/crates/controller/src/fleet/wanted.rs
+++ b/crates/controller/src/fleet/wanted.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::market::{Pool, Want};
-use crate::placement::Machine;
 use crate::split::{Class, Market};
 use beamhinge_operators::directives::Afterwards;
 
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -7,7 +7,7 @@
 use crate::chronicle::Chronicle;
 use crate::desk::{Desk, Limits};
 use crate::directives::Directives;
-use crate::fleet::{Fleet, Senses};
+use crate::fleet::{Fleet, Senses, WORD_S};
 use crate::intake::{self, Context, Intake};
 use crate::jobs::JobBook;
 use crate::leader::{Leader, Standing};
@@ -828,8 +828,6 @@
 
 /// How long a machine that was sent to the holder must not come back.
 const DEAF_S: f64 = 12.0;
-/// How long a word on who is heard counts, seconds.
-const WORD_S: f64 = 8.0;
 
 /// How long a holder may commit nothing while there is work.
 fn stuck_after_s(settings: &Settings) -> f64 {
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -281,7 +281,7 @@
         ledger.commit(now, Priority::Place, Tag::Place(PlaceCall::Commit), txn);
     }
 
-    fn resting(&self, part: Part) -> bool {
+    pub(super) fn resting(&self, part: Part) -> bool {
         self.aside.contains_key(&part)
     }
 
@@ -678,19 +678,9 @@
                 let machine = MachineId::parse(&name).expect("a machine");
                 let task = TaskId { job, index };
                 place.next_attempt += 1;
-                let entry = Entry {
-                    attempt: Attempt(place.next_attempt),
-                    need: Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 },
-                    team: None,
-                    state: State::Planned,
-                    kill: None,
-                    flying: false,
-                    started: None,
-                    inherited: false,
-                    page: None,
-                    placed: now,
-                    ahead: None,
-                };
+                let attempt = Attempt(place.next_attempt);
+                let need = Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+                let entry = Entry::planned(attempt, need, None, now, None);
                 let m = place.machines.entry(machine).or_insert_with(|| Machine::new(now));
                 m.entries.insert(task, entry);
                 place.plans.push_back((machine, task));
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -148,6 +148,28 @@
 }
 
 impl Entry {
+    /// Chosen for a machine, and not yet in any transaction.
+    fn planned(
+        attempt: Attempt,
+        need: Need,
+        team: Option<usize>,
+        now: Time,
+        ahead: Option<Time>,
+    ) -> Entry {
+        Entry {
+            attempt,
+            need,
+            team,
+            state: State::Planned,
+            kill: None,
+            flying: false,
+            started: None,
+            inherited: false,
+            page: None,
+            placed: now,
+            ahead,
+        }
+    }
     /// Whether it may be on the machine, by all that was sent.
     fn may_be_there(&self) -> bool {
         !matches!(self.state, State::Planned | State::Committed)
@@ -512,7 +534,7 @@
             || self.load.is_some()
             || self.flying.is_some()
             || !self.plans.is_empty()
-            || !self.complete.is_empty()
+            || self.complete.iter().any(|id| !self.resting(Part::Job(*id)))
             || self.stopped
     }
 
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -385,22 +385,8 @@
             return false;
         }
         self.next_attempt += 1;
-        m.entries.insert(
-            task,
-            Entry {
-                attempt: Attempt(self.next_attempt),
-                need,
-                team,
-                state: State::Planned,
-                kill: None,
-                flying: false,
-                started: None,
-                inherited: false,
-                page: None,
-                placed: now,
-                ahead,
-            },
-        );
+        let attempt = Attempt(self.next_attempt);
+        m.entries.insert(task, Entry::planned(attempt, need, team, now, ahead));
         self.chronicle.placed(job.spec.submitted);
         self.chronicle.note(|| What::Placed {
             task: task.to_string(),
