--- a/crates/suspicion/src/groups.rs
+++ b/crates/suspicion/src/groups.rs
@@ -203,8 +203,9 @@
         }
         // Where one group explains it, the others are judged as ever.
         let wide = !apart && all.overdue >= FEWEST && all.part() >= PART;
-        if apart {
-            self.began.remove(&Group::Ours);
+        if apart && self.began.remove(&Group::Ours).is_some() {
+            // What was silent with all the others has the time of stragglers.
+            self.back.insert(Group::Ours, now.plus(self.bounds.limit_s));
         }
         self.keep(now, Group::Ours, all, wide);
         self.began.retain(|g, _| *g == Group::Ours || groups.contains_key(g));
@@ -350,6 +351,18 @@
         assert_eq!(count(&look, Finding::Silent), 10, "not for ever");
     }
 
+    /// Guards against giving back the rest of a fleet at the moment when one zone
+    /// begins to explain most of its silence (day-78-9: nine machines).
+    #[test]
+    fn when_a_zone_explains_it_the_others_still_have_time() {
+        let mut s = Suspicion::new(bounds());
+        s.look(at(0.0), OVERDUE_S, &fleet(100, |_| 20.0));
+        let mostly = |i: u32| if i % 2 == 1 || i < 20 { 20.0 } else { 1.0 };
+        let look = s.look(at(1.0), OVERDUE_S, &fleet(100, mostly));
+        assert_eq!(look.groups.first().map(|g| g.0), Some(Group::Zone(1)));
+        assert_eq!(count(&look, Finding::Silent), 0);
+    }
+
     #[test]
     fn a_tenth_of_the_fleet_that_dies_is_seen_within_seconds() {
         let mut s = Suspicion::new(bounds());
