Mirrors read again with growing pauses; woken machines are not counted as given away

Change: mirrors keep a Course (0.2 to 1 s), a malformed watch begins with a new scan; the tally asks whether a controller had answered the machine since it hung.

--- a/crates/controller/src/mirror.rs
+++ b/crates/controller/src/mirror.rs
@@ -8,6 +8,7 @@
 
 use crate::calls::{MirrorCall, Tag};
 use crate::ledger::{Ledger, News, Outcome, Priority, Reply, Scan};
+use beamhinge_limits::Course;
 use beamhinge_vocab::types::Time;
 use beamhinge_vocab::wire;
 use ciborium::Value;
@@ -68,10 +69,16 @@
     now_flying: bool,
     wait_flying: bool,
     scan: Option<ScanState>,
-    retry_at: Time,
+    /// How a reading that failed is tried again: an answer that cannot be read,
+    /// or a service that is away, is not asked alike for ever.
+    course: Course,
     wanted: bool,
 }
 
+/// Shortest and longest pause after a reading that failed, seconds. The longest
+/// is what a copy lies behind at most when the service comes back.
+const PAUSES_S: (f64, f64) = (0.2, 1.0);
+
 impl Mirror {
     pub fn new(keeping: Keeping) -> Mirror {
         Mirror {
@@ -82,7 +89,7 @@
             now_flying: false,
             wait_flying: false,
             scan: None,
-            retry_at: Time::default(),
+            course: Course::new(PAUSES_S.0, PAUSES_S.1),
             wanted: false,
         }
     }
@@ -104,7 +111,7 @@
     /// Loops that keep the copy as fresh as wanted: `ask` when somebody waits
     /// for an answer, `follow` where each change is to be seen at once.
     pub fn tick(&mut self, now: Time, ask: bool, follow: bool, ledger: &mut Ledger<Tag>) {
-        if now < self.retry_at {
+        if !self.course.due(now) {
             return;
         }
         let Keeping { prefix, tag, wait_s, wait_priority, stale_s } = self.keeping;
@@ -152,19 +159,21 @@
         match reply.outcome {
             Outcome::Ok(body) if call == MirrorCall::Scan => {
                 let Ok(page) = wire::decode::<Scan>(&body) else {
-                    self.retry_at = now.plus(0.5);
+                    self.course.busy(now);
                     return Update::nothing(Freshness::Failed);
                 };
+                self.course.succeeded();
                 self.on_page(page, reply.sent)
             }
             Outcome::Ok(body) => {
                 let Ok(news) = wire::decode::<News>(&body) else {
-                    self.retry_at = now.plus(0.5);
+                    self.course.busy(now);
                     return Update::nothing(Freshness::Failed);
                 };
                 // Two watches may be out, and the older answer come last. What is
                 // not newer than the copy is in it; taken once more, it would
                 // bring back a key that was deleted since.
+                self.course.succeeded();
                 let newer = news.news.into_iter().filter(|c| c.stamp > self.rev);
                 let changes = newer.filter_map(|c| {
                     let value = if c.write.is_some() { Some(c.value?) } else { None };
@@ -175,13 +184,19 @@
                 self.fresh = self.fresh.max(Some(reply.sent));
                 Update { changes, freshness: Freshness::Fresh, scanned: None }
             }
-            Outcome::Gone => {
+            // Changes from before the kept ones are not to be had, nor those after a
+            // revision that the service never gave out: only a new scan leads on.
+            Outcome::Gone | Outcome::Malformed => {
+                let gone = matches!(reply.outcome, Outcome::Gone);
+                if !gone {
+                    self.course.busy(now);
+                }
                 self.loaded = false;
                 self.scan = None;
                 Update::nothing(Freshness::Failed)
             }
             _ => {
-                self.retry_at = now.plus(0.2);
+                self.course.busy(now);
                 if call == MirrorCall::Scan {
                     self.scan = None;
                 }
@@ -263,6 +278,30 @@
         assert_eq!(take(&mut m, MirrorCall::Wait, newer), [("o/zone/a".to_string(), true)]);
     }
 
+    /// A copy that could not be read was asked for five times a second, as long
+    /// as the service was away.
+    #[test]
+    fn a_service_that_is_away_is_asked_less_and_less() {
+        let mut m = mirror();
+        m.loaded = true;
+        let mut now = Time::from_micros(1_000_000);
+        let mut gaps = Vec::new();
+        for _ in 0..5 {
+            let reply = Reply {
+                tag: Tag::Directives(MirrorCall::Now),
+                outcome: Outcome::Refused,
+                sent: now,
+            };
+            m.on_reply(now, MirrorCall::Now, reply);
+            let gap = (1..30).map(|i| f64::from(i) * 0.1).find(|s| m.course.due(now.plus(*s)));
+            gaps.push(gap.expect("asked again in the end"));
+            now = now.plus(3.0);
+        }
+        assert_eq!(gaps, [0.2, 0.4, 0.8, 1.0, 1.0]);
+        let news = json!({"ledgerRev": 1, "news": []});
+        assert!(take(&mut m, MirrorCall::Now, news).is_empty() && m.course.tries() == 0);
+    }
+
     #[test]
     fn a_watch_from_before_a_new_scan_is_left_out() {
         let mut m = mirror();
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -128,6 +128,8 @@
     pub cut_off: u64,
     /// Healthy machines that were given back busy, or while they were cut off.
     pub healthy_returned: u64,
+    /// Machines given back that had not been answered since they hung, and woke.
+    pub given_back_ill: u64,
     /// Tasks on them, and tasks that a lease ended on a machine and in a time
     /// without trouble.
     pub unexplained: u64,
@@ -809,11 +811,15 @@
     /// The cloud takes a machine back since a controller asked for it.
     fn given_back(&mut self, node: usize, machine: u64, late: bool) {
         let Some(w) = self.lose(machine) else { return };
-        let ill = self.now < w.hang_until
+        // One that hung beyond the limit of silence is given back with cause, also
+        // when it wakes while the call is on its way: until a controller has
+        // answered it again, nobody can know.
+        let ill = (w.hang_until > 0 && !w.answered_since(w.hang_until))
             || self.now < w.cut_until
             || w.sick
             || w.slow > 1.0
             || w.reclaim_at.is_some();
+        self.tally.given_back_ill += u64::from(ill && self.now >= w.hang_until);
         let busy = w.on_machine().count() as u64;
         let heard = self.passes(node, Far::Worker(&w.zone), self.now);
         let cut = heard.is_none_or(|at| at > self.now);
--- a/crates/sim/tests/found.rs
+++ b/crates/sim/tests/found.rs
@@ -28,3 +28,14 @@
     assert!(found);
     assert!(!days::faulty(&sound), "{sound:?}");
 }
+
+/// Machines that hung longer than the limit of silence and woke while the call
+/// that gave them back was on its way were counted as given away (day 79-44). One
+/// that is given back long after it woke still is.
+#[test]
+fn who_wakes_while_being_given_back_was_not_healthy() {
+    let day = include_str!("found/woken.txt");
+    let sound = scenario::play(day, Faults::default()).expect("a scenario");
+    assert!(!days::faulty(&sound), "{sound:?}");
+    assert!(sound.tally.given_back_ill > 0, "the day no longer shows it: {sound:?}");
+}
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -148,6 +148,11 @@
             "reclaimInS": reclaim, "pieces": pieces, "surprise": {"a": [1, null]}})
     }
 
+    /// Whether a controller has answered a report that was sent later than this.
+    pub fn answered_since(&self, at: Us) -> bool {
+        self.renewed > at
+    }
+
     /// The next report, if one may go out now.
     pub fn send(&mut self, now: Us, doubles: Doubles) -> Option<(usize, u64, Value)> {
         if now < self.hang_until {
