Ageing: risen jobs get a lane of bounded width, reservations and a proven bound; off

Cause: placement orders by urgency first, so a steady stream of urgent work holds the rest back for ever. Change: crates/ageing (policy, lane, reservations, stops, bound) and its use in planning, off until [ageing] on = yes; the simulator takes settings of the operators' file and tells waits.

--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::placement::{Order, Placement, Report, Verdict};
+use beamhinge_ageing::Policy;
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_operators::messages::What;
 use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors, Work};
@@ -410,7 +411,9 @@
                 self.directives.want_refresh();
                 let standing = self.directives.standing().clone();
                 self.metrics.took(now);
-                self.place = Some(Placement::new(&self.settings, token, standing, chronicle, now));
+                let ageing = Policy::new(self.operator.ageing);
+                let place = Placement::new(&self.settings, token, standing, chronicle, ageing, now);
+                self.place = Some(place);
                 #[cfg(feature = "faults")]
                 if let Some(place) = &mut self.place {
                     place.unbounded = self.faults.unbounded;
--- /dev/null
+++ b/crates/controller/src/placement/ageing.rs
@@ -0,0 +1,186 @@
+//! Jobs that have waited long enough: their lane, their reservations, and what
+//! may be stopped for others. The rules are those of `beamhinge_ageing`; here
+//! they meet the books.
+//!
+//! All that decides is in the books already: when a job was submitted, and what
+//! holds room. A new holder finds the same order. Reservations and the counts of
+//! stops are made anew: the bound in `docs/ageing.md` counts a takeover for that.
+
+use super::plan::{allows, Pass, Round};
+use super::*;
+use beamhinge_ageing::{soonest, Held, Lane, Running};
+
+impl Need {
+    fn sizes(&self) -> [f64; 3] {
+        [self.cpus, self.gpus, self.memory_gb]
+    }
+}
+
+impl Placement {
+    /// Waiting jobs that have risen, the one that rose first in front.
+    pub(super) fn risen(&self, now: Time, wall: WallMs) -> Vec<JobId> {
+        if !self.ageing.on() {
+            return Vec::new();
+        }
+        let waits = self.jobs.iter().filter(|(_, j)| self.pause(now, j).is_none());
+        let mut risen: Vec<(u64, JobId)> = waits
+            .filter_map(|(id, j)| {
+                let at = self.ageing.rises_at_ms(j.spec.urgency, j.spec.submitted())?;
+                (at <= wall.0).then_some((at, *id))
+            })
+            .collect();
+        risen.sort_unstable();
+        risen.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// What the lane holds, by the books.
+    pub(super) fn lane(&self, now: Time, shapes: &[Shape]) -> Lane {
+        let usable = self.machines.values().filter(|m| self.hindrance(now, m).is_none());
+        let cpus = usable.filter_map(|m| shapes.get(m.shape?)).map(|s| s.cpus).sum();
+        let mut lane = Lane::new(self.ageing.width(cpus));
+        for e in self.machines.values().flat_map(|m| m.entries.values()).filter(|e| e.lane) {
+            lane.take(e.need.cpus);
+        }
+        lane
+    }
+
+    /// Gives room to what has risen, as far as the lane is wide.
+    pub(super) fn fill_lane(&mut self, now: Time, wall: WallMs, round: &mut Round) {
+        let risen = self.risen(now, wall);
+        self.keep_reserved(now, round.shapes, &risen);
+        if risen.is_empty() {
+            return;
+        }
+        let mut lane = self.lane(now, round.shapes);
+        round.rising = true;
+        'jobs: for id in risen {
+            while let Some(job) = self.jobs.get(&id).filter(|j| j.waiting() > 0) {
+                let need = job.need();
+                let team = self.team(&job.spec);
+                let over = team.and_then(|t| self.over_limit(round.team_used[t], t, &need));
+                if over.is_some() {
+                    // Its team's limit, and no lack of room, is in its way.
+                    break;
+                }
+                // Guard of the bound: nobody passes one for whom the lane is too
+                // full. Smaller ones behind it would keep it so for ever.
+                if round.budget == 0 || !lane.admits(need.cpus) {
+                    break 'jobs;
+                }
+                if self.fill(now, round, id, Pass::Any, 1) == 0 {
+                    if self.reserve(now, round, id).is_some() {
+                        lane.take(need.cpus);
+                    }
+                    break;
+                }
+                lane.take(need.cpus);
+            }
+        }
+        round.rising = false;
+    }
+
+    /// A reservation ends with the wait, and with the machine.
+    fn keep_reserved(&mut self, now: Time, shapes: &[Shape], risen: &[JobId]) {
+        if self.reserved.is_empty() {
+            return;
+        }
+        let mut reserved = std::mem::take(&mut self.reserved);
+        reserved.keep(|id, held| {
+            let (Some(job), Some(m)) = (self.jobs.get(&id), self.machines.get(&held.machine))
+            else {
+                return false;
+            };
+            let shape = m.shape.and_then(|s| shapes.get(s));
+            risen.contains(&id)
+                && self.hindrance(now, m).is_none()
+                && shape.is_some_and(|s| allows(&job.spec, s, m))
+        });
+        self.reserved = reserved;
+    }
+
+    /// Keeps the machine that will have room first for the job's next task.
+    fn reserve(&mut self, now: Time, round: &Round, id: JobId) -> Option<Held> {
+        if let Some(held) = self.reserved.of(id) {
+            return Some(held);
+        }
+        let job = self.jobs.get(&id)?;
+        let (spec, need) = (job.spec.clone(), job.need());
+        let none = BTreeMap::new();
+        let in_zones = round.zones.get(&id).unwrap_or(&none);
+        let machines: Vec<(MachineId, f64)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| self.hindrance(now, m).is_none())
+            .filter(|(_, m)| !plan::zone_barred(&spec, in_zones, &m.zone))
+            .filter_map(|(machine, m)| {
+                let shape = round.shapes.get(m.shape?)?;
+                allows(&spec, shape, m).then_some(())?;
+                let free = m.unpromised(round.shapes, &self.jobs).sizes();
+                let mut running = self.running(now, m);
+                Some((*machine, soonest(free, &mut running, need.sizes())?))
+            })
+            .collect();
+        let held = self.reserved.hold(now, id, machines.into_iter())?;
+        tracing::info!("{} is kept for {id}, for {:.0} s", held.machine, held.at.until(now));
+        // What was placed there ahead of an end has not begun: it goes elsewhere.
+        let aside: Vec<TaskId> = self.machines.get(&held.machine).map_or_else(Vec::new, |m| {
+            m.entries.iter().filter(|(_, e)| e.ahead.is_some()).map(|(t, _)| *t).collect()
+        });
+        for task in aside {
+            self.end(now, held.machine, task, false, 0.0);
+        }
+        Some(held)
+    }
+
+    /// What occupies a machine, and for how long by the estimates.
+    fn running(&self, now: Time, m: &Machine) -> Vec<Running> {
+        let entries = m.entries.iter().filter(|(_, e)| e.ahead.is_none());
+        entries
+            .filter_map(|(task, e)| {
+                let job = self.jobs.get(&task.job)?;
+                // A service ends when it is told to, which nobody can foresee.
+                (job.spec.kind == JobKind::Batch).then_some(())?;
+                let left_s = (self.run_s(job) - e.ran_s(now)).max(0.0);
+                Some(Running { left_s, size: e.need.sizes() })
+            })
+            .collect()
+    }
+
+    /// Whether a machine is kept for another job, and this one would stay there
+    /// beyond the time at which it is needed.
+    pub(super) fn kept_from(&self, now: Time, machine: MachineId, id: JobId) -> bool {
+        let Some((holder, held)) = self.reserved.holder(machine) else { return false };
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let passes = job.spec.kind == JobKind::Batch && held.lets_pass(now, self.run_s(job));
+        holder != id && !passes
+    }
+
+    /// Whether a running task may not be stopped for work of this urgency: it has
+    /// risen as far, or was stopped so often that its time has come.
+    pub(super) fn spared(
+        &self,
+        now: Time,
+        wall: WallMs,
+        (task, e): (TaskId, &Entry),
+        urgency: Urgency,
+    ) -> bool {
+        if !self.ageing.on() {
+            return false;
+        }
+        let (limit, spared_s) = (self.ageing.stops(), self.ageing.spared_s());
+        let risen = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|j| e.lane || self.ageing.risen(j.spec.urgency, j.spec.submitted(), wall));
+        (risen && urgency <= self.ageing.ceiling())
+            || !self.made_room.may_stop(task, e.ran_s(now), limit, spared_s)
+    }
+
+    /// A task is stopped for another's sake.
+    pub(super) fn make_room(&mut self, machine: MachineId, task: TaskId, why: &str) {
+        if self.ageing.on() {
+            self.made_room.stopped(task);
+        }
+        self.stop(machine, task, why);
+    }
+}
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -203,6 +203,7 @@
                     page: Some(no),
                     placed: now,
                     ahead: None,
+                    lane: false,
                 },
             );
             self.pages.hold(no);
@@ -725,7 +726,14 @@
         let mut now = Time::from_micros(1_000_000);
         let mut ledger: Ledger<Tag> = Ledger::new(&settings);
         let standing = Rc::default();
-        let mut place = Placement::new(&settings, Token(9), standing, Chronicle::new(false), now);
+        let mut place = Placement::new(
+            &settings,
+            Token(9),
+            standing,
+            Chronicle::new(false),
+            Policy::new(Default::default()),
+            now,
+        );
         place.loaded = true;
         fill(&mut place, b, now);
         let (mut book, mut calls, mut rev) = (JobBook::default(), 0, 100);
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -14,6 +14,7 @@
 use crate::ledger::{Committed, Full, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
 use crate::progress::{self, Open, Progress, Shelved, Shelves};
 use crate::split::{Demand, Need, Shape, EPSILON};
+use beamhinge_ageing::{Policy, Reservations, Stops};
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
@@ -27,6 +28,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+mod ageing;
 mod books;
 mod explain;
 mod obey;
@@ -114,6 +116,8 @@
     /// Placed before there was room, and when: it runs as soon as something
     /// else ends there.
     ahead: Option<Time>,
+    /// It got its room as one that has risen, and counts against their lane.
+    lane: bool,
 }
 
 #[derive(Debug)]
@@ -168,6 +172,7 @@
             page: None,
             placed: now,
             ahead,
+            lane: false,
         }
     }
     /// Whether it may be on the machine, by all that was sent.
@@ -369,6 +374,9 @@
 /// Direct calls to workers that go out together.
 const MOST_STOPS: usize = 16;
 
+/// Tasks whose stops are remembered.
+const STOPS_KNOWN: usize = 4_096;
+
 pub struct Placement {
     token: Token,
     took: Time,
@@ -378,6 +386,12 @@
     report_s: f64,
     margin_s: f64,
     value_limit: usize,
+    /// How waiting jobs rise.
+    ageing: Policy,
+    /// Machines kept for risen tasks that fit nowhere now.
+    reserved: Reservations,
+    /// Tasks that were stopped for others.
+    made_room: Stops,
     machines: BTreeMap<MachineId, Machine>,
     jobs: BTreeMap<JobId, Job>,
     pages: Pages,
@@ -433,6 +447,7 @@
         token: Token,
         standing: Rc<Standing>,
         chronicle: Chronicle,
+        ageing: Policy,
         now: Time,
     ) -> Placement {
         let w = &settings.params.workers;
@@ -448,6 +463,9 @@
             lease_s: w.lease_s,
             report_s: w.report_s,
             margin_s: settings.margin_s(),
+            ageing,
+            reserved: Reservations::default(),
+            made_room: Stops::new(STOPS_KNOWN),
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             pages: Pages::new(token),
@@ -810,6 +828,7 @@
             self.closing.remove(&id);
             self.jobs.remove(&id);
             self.shelves.forget(id);
+            self.made_room.keep(|t| t.job != id);
         }
     }
 }
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -17,7 +17,9 @@
     pub rooms: Vec<Room>,
     pub team_used: Vec<(f64, f64)>,
     pub zones: BTreeMap<JobId, BTreeMap<String, u32>>,
-    budget: usize,
+    pub(super) budget: usize,
+    /// What is placed now gets its room as one that has risen.
+    pub(super) rising: bool,
     /// Machines where a task is about to end, once asked for.
     soon: Option<Vec<Soon>>,
 }
@@ -45,7 +47,7 @@
 
 /// Which machines a job may take in one pass over the order.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Pass {
+pub(super) enum Pass {
     Pressing,
     /// Only where the image is: a fetch costs a place a quarter of a task's
     /// time, and another job whose image is there may have it meanwhile.
@@ -80,7 +82,7 @@
 }
 
 /// Whether a job may use this machine at all.
-fn allows(spec: &JobSpec, shape: &Shape, m: &Machine) -> bool {
+pub(super) fn allows(spec: &JobSpec, shape: &Shape, m: &Machine) -> bool {
     misfit(spec, shape, m).is_none()
 }
 
@@ -131,18 +133,26 @@
         let guaranteed = self.guaranteed();
         let order = self.order(now, wall, &round, &guaranteed);
         let mut pressed: Vec<Pressed> = Vec::new();
+        let ceiling = u8::MAX - self.ageing.ceiling() as u8;
+        let mut lane_due = true;
         for group in order.chunk_by(|a, b| a.rank == b.rank) {
+            // Those who have risen come behind what is more urgent than the
+            // ceiling and behind prompt guaranteed work, and ahead of all others.
+            let below = group.first().is_some_and(|w| w.rank.0 && w.rank.1 >= ceiling);
+            if below && std::mem::take(&mut lane_due) {
+                self.fill_lane(now, wall, &mut round);
+            }
             for pass in [Pass::Pressing, Pass::WithImage, Pass::Any] {
                 for w in group.iter().filter(|w| w.pressing == (pass == Pass::Pressing)) {
                     if round.budget == 0 {
                         return;
                     }
-                    self.fill(now, &mut round, w.id, pass);
+                    self.fill(now, &mut round, w.id, pass, u32::MAX);
                 }
             }
             for w in group {
                 if !w.rank.0 {
-                    self.reclaim(now, &mut round, w.id, &guaranteed);
+                    self.reclaim(now, wall, &mut round, w.id, &guaranteed);
                 }
                 // What may not wait makes room for itself instead.
                 if w.wait_s.is_none() {
@@ -160,7 +170,7 @@
                 }
             }
         }
-        self.preempt(now, &pressed, shapes);
+        self.preempt(now, wall, &pressed, shapes);
     }
 
     pub(super) fn round<'a>(
@@ -177,6 +187,7 @@
             zones: BTreeMap::new(),
             // No more than the next few transactions can carry.
             budget: (blocks::rows_per_page(self.value_limit) * 4).saturating_sub(self.plans.len()),
+            rising: false,
             soon: None,
         };
         for (id, m) in &self.machines {
@@ -339,7 +350,8 @@
             let image = m.images.contains(&spec.image);
             let quick = spec.image_gb < self.report_s * shape.fetch_gb_per_s;
             let allowed = (image || quick || pressing) && allows(&spec, shape, m);
-            if !allowed || s.ahead.is_some_and(|u| u >= spec.urgency) {
+            let kept = self.kept_from(now, s.id, id);
+            if !allowed || kept || s.ahead.is_some_and(|u| u >= spec.urgency) {
                 continue;
             }
             // What ends must leave room enough, whatever else comes.
@@ -386,7 +398,9 @@
         }
         self.next_attempt += 1;
         let attempt = Attempt(self.next_attempt);
-        m.entries.insert(task, Entry::planned(attempt, need, team, now, ahead));
+        let mut entry = Entry::planned(attempt, need, team, now, ahead);
+        entry.lane = round.rising;
+        m.entries.insert(task, entry);
         self.chronicle.placed(job.spec.submitted);
         self.chronicle.note(|| What::Placed {
             task: task.to_string(),
@@ -444,7 +458,14 @@
     /// Takes room back for a job within its team's guarantee: tasks that have
     /// hardly begun, of teams that use more than theirs, make room, and the
     /// job's tasks are placed ahead where they were.
-    fn reclaim(&mut self, now: Time, round: &mut Round, id: JobId, guaranteed: &BTreeSet<JobId>) {
+    fn reclaim(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        round: &mut Round,
+        id: JobId,
+        guaranteed: &BTreeSet<JobId>,
+    ) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.waiting() > 0) else { return };
         let (spec, need) = (job.spec.clone(), job.need());
         if spec.one_zone || spec.spread {
@@ -472,6 +493,7 @@
                     && begun
                     && !guaranteed.contains(&task.job)
                     && ran < self.run_s(j) * YOUNG
+                    && !self.spared(now, wall, (*task, e), Urgency::Critical)
                 {
                     young.push((ran, *task, e.need));
                 }
@@ -509,7 +531,7 @@
             }
             for task in victims {
                 tracing::info!("{task} on {machine} gives back borrowed room to {id}");
-                self.stop(machine, task, "gives back borrowed room");
+                self.make_room(machine, task, "gives back borrowed room");
             }
         }
     }
@@ -579,8 +601,16 @@
     }
 
     /// Puts as many tasks of one job on machines as there is room for.
-    fn fill(&mut self, now: Time, round: &mut Round, id: JobId, pass: Pass) {
-        let Some(job) = self.jobs.get(&id) else { return };
+    /// How many were placed: `most` of them at most.
+    pub(super) fn fill(
+        &mut self,
+        now: Time,
+        round: &mut Round,
+        id: JobId,
+        pass: Pass,
+        most: u32,
+    ) -> u32 {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
         let spec = job.spec.clone();
         let need = need_of(&spec);
         // First fit: the smaller type first, so that large machines stay
@@ -591,7 +621,7 @@
             .rooms
             .iter()
             .enumerate()
-            .filter(|(_, r)| need.fits(&r.free))
+            .filter(|(_, r)| need.fits(&r.free) && !self.kept_from(now, r.id, id))
             .filter_map(|(i, r)| {
                 let m = machines.get(&r.id)?;
                 let shape = shapes.get(r.shape)?;
@@ -606,8 +636,9 @@
             let size = |i: &usize| shapes.get(round.rooms[*i].shape).map_or(0.0, |s| s.cpus);
             size(a).total_cmp(&size(b)).then(ka.cmp(kb))
         });
+        let mut placed = 0;
         for (i, _) in fits {
-            while need.fits(&round.rooms[i].free) {
+            while placed < most && need.fits(&round.rooms[i].free) {
                 let machine = round.rooms[i].id;
                 let Some(zone) = self.machines.get(&machine).map(|m| m.zone.as_str()) else {
                     break;
@@ -616,19 +647,21 @@
                     break;
                 }
                 if !self.put(now, round, machine, id, None) {
-                    return;
+                    return placed;
                 }
+                placed += 1;
                 round.rooms[i].used = true;
                 round.rooms[i].free.sub(&need);
             }
         }
+        placed
     }
 
     /// Stops tasks of lower urgency for those that would miss their aim.
     ///
     /// Those that have run least lose least; tasks that a stop already frees
     /// room for are not paid for twice.
-    fn preempt(&mut self, now: Time, pressed: &[Pressed], shapes: &[Shape]) {
+    fn preempt(&mut self, now: Time, wall: WallMs, pressed: &[Pressed], shapes: &[Shape]) {
         let Some(top) = pressed.iter().map(|p| p.urgency).max() else { return };
         let mut lacking: f64 = pressed.iter().filter(|p| p.urgency == top).map(|p| p.cpus).sum();
         let soonest = pressed.iter().map(|p| p.within_s).fold(f64::INFINITY, f64::min);
@@ -647,7 +680,11 @@
                     if run_s - ran < soonest {
                         lacking -= e.need.cpus;
                     }
-                } else if matches!(e.state, State::Seen(_)) && fits && ran < run_s * YOUNG {
+                } else if matches!(e.state, State::Seen(_))
+                    && fits
+                    && ran < run_s * YOUNG
+                    && !self.spared(now, wall, (*task, e), top)
+                {
                     let kept = if job.spec.checkpoint_s > 0.0 { 0.1 } else { 1.0 };
                     victims.push((ran * kept, *id, *task, e.need.cpus));
                 }
@@ -660,7 +697,7 @@
             }
             lacking -= cpus;
             tracing::info!("{task} on {machine} makes room for more urgent work");
-            self.stop(machine, task, "makes room for more urgent work");
+            self.make_room(machine, task, "makes room for more urgent work");
         }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments on real processes, and days in simulated time. The last line is one JSON object with `"ok"`
 //! and the figures; the exit code is 1 when a check fails.
 
+mod ageing;
 mod days;
 mod doors;
 mod explain;
@@ -48,6 +49,8 @@
     Explain,
     /// Drawn days in simulated time, 100 to 3,000 machines: rules, liveness, what is given away
     Days(days::Options),
+    /// A night in simulated time: a flood of urgent work, and what waits behind it
+    Ageing(ageing::Options),
     /// Hostile, mistaken and slow clients at the operators' door
     Doors,
     /// A long list of jobs in a small controller
@@ -104,6 +107,7 @@
         }
         Experiment::Explain => explain::run(&lab),
         Experiment::Days(options) => days::run(arguments.seed, quick, &options),
+        Experiment::Ageing(options) => ageing::run(arguments.seed, quick, &options),
         Experiment::Doors => doors::run(&lab),
         Experiment::List { open } => list::run(&lab, quick, open),
         Experiment::Controller(_) => return ExitCode::FAILURE,
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -176,6 +176,12 @@
     /// Troubles of controllers and links explain what is lost until then.
     pub explained_until: Us,
     pub tally: Tally,
+    /// What the operators' file holds beside the door.
+    pub operator: String,
+    /// Jobs that have not started, and when they were first sent.
+    pub unstarted: BTreeMap<String, Us>,
+    /// How long each job waited for its first start, microseconds.
+    pub waits: Vec<(String, Us)>,
     checked: Us,
     /// When the watches are looked at next.
     next_watch: Us,
@@ -201,7 +207,7 @@
     pub fn broken(settings: Vec<Settings>, seed: u64, faults: Faults) -> Sim {
         let s = &settings[0].params;
         let n = settings.len();
-        let mut sim = Sim {
+        Sim {
             now: 3_600 * SECOND,
             seq: 0,
             queue: BinaryHeap::new(),
@@ -224,6 +230,9 @@
             state_slow: (1.0, 0),
             explained_until: 0,
             tally: Tally::default(),
+            operator: String::new(),
+            unstarted: BTreeMap::new(),
+            waits: Vec::new(),
             checked: 0,
             next_watch: Us::MAX,
             on_machines: OnMachines::default(),
@@ -239,11 +248,7 @@
             settings,
             faults,
             owned: 0,
-        };
-        for i in 0..n {
-            sim.start(i);
         }
-        sim
     }
 
     pub fn push(&mut self, at: Us, event: Event) {
@@ -258,7 +263,8 @@
         }
         self.lives[i] += 1;
         let door = "[operators]\nlisten = 127.0.0.1:7900\n[split]\nseed = 7\n";
-        let operator = Operator::parse("the door", door).expect("sound");
+        let text = format!("{door}{}", self.operator);
+        let operator = Operator::parse("the operators' file", &text).expect("sound");
         let nonce = self.rng.gen_range(1..1u64 << 50);
         let now = Time::from_micros(self.now);
         let mut node = Node::new(self.settings[i].clone(), operator, Vec::new(), nonce, now);
@@ -930,6 +936,14 @@
         }
         self.started += std::mem::take(&mut w.started);
         w.events.clear();
+        if !self.unstarted.is_empty() {
+            for t in w.on_machine() {
+                let job = t.piece.split('/').next().unwrap_or("");
+                if let Some(sent) = self.unstarted.remove(job) {
+                    self.waits.push((job.to_string(), self.now - sent));
+                }
+            }
+        }
         // Results are kept outside the machines.
         for piece in w.finished.drain(..) {
             if let Some((job, index)) = piece.split_once('/') {
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -117,7 +117,7 @@
     use serde_json::json;
 
     fn plans() -> BTreeMap<String, JobPlan> {
-        let plan = |body| JobPlan { body, run_s: 1.0, fails: false, command: None };
+        let plan = |body| JobPlan { body, run_s: 1.0, fails: false, command: None, sent: 0 };
         [
             ("job-1", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "apart": true})),
             ("job-2", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "oneZone": true})),
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -15,7 +15,7 @@
 use beamhinge_standins::user::What;
 use beamhinge_standins::{JobPlan, Us, SECOND};
 use beamhinge_vocab::http::Method;
-use beamhinge_vocab::settings::{Settings, Team};
+use beamhinge_vocab::settings::{Operator, Settings, Team};
 use rand::Rng;
 use serde_json::json;
 
@@ -57,6 +57,22 @@
     pub tally: Tally,
     pub started: u64,
     pub most_machines: u32,
+    /// Each job's wait for its first start, seconds; those that never started are
+    /// not in it.
+    pub waits: Vec<Wait>,
+    pub leaderless_s: f64,
+}
+
+/// How long a job waited.
+#[derive(Clone, Debug)]
+pub struct Wait {
+    pub job: String,
+    pub urgency: String,
+    /// When it was sent first, seconds after the day's beginning.
+    pub sent_s: f64,
+    pub wait_s: f64,
+    pub tasks: u64,
+    pub cpus: f64,
 }
 
 const START: Us = 3_600 * SECOND;
@@ -124,7 +140,8 @@
 
 fn plan_job(sim: &mut Sim, body: serde_json::Value, run_s: f64, fails: bool, at: Us) {
     let id = body["nameId"].as_str().unwrap_or_default().to_string();
-    sim.jobs.insert(id.clone(), JobPlan { body, run_s, fails, command: None });
+    sim.unstarted.insert(id.clone(), at);
+    sim.jobs.insert(id.clone(), JobPlan { body, run_s, fails, command: None, sent: at });
     sim.push(at, Event::UserSends { job: id, what: What::Submit, since: at });
 }
 
@@ -351,6 +368,13 @@
         }
     }
     let mut sim = Sim::broken(settings, get("seed", 1.0) as u64, faults);
+    if let Some(words) = setting("ageing") {
+        let set = words[1..].iter().filter_map(|w| w.split_once('='));
+        let lines: String = set.map(|(k, v)| format!("{k} = {v}\n")).collect();
+        sim.operator = format!("[ageing]\n{lines}");
+        Operator::parse("the scenario", &sim.operator).map_err(|e| e.to_string())?;
+    }
+    (0..sim.settings.len()).for_each(|i| sim.start(i));
     let (zones, mut end) = (ZONES, 60 * SECOND);
     sim.cloud.zones = zones.iter().map(|z| z.to_string()).collect();
     let boot_s = get("boot", 5.0);
@@ -402,7 +426,7 @@
             "unsettled" => settles = false,
             "settle" => {}
             "nodes" | "seed" | "team-max" | "teams" | "spot" | "ordinary" | "large" | "owned"
-            | "workers" | "state" | "cloud" | "boot" => {}
+            | "workers" | "state" | "cloud" | "boot" | "ageing" => {}
             other => return Err(format!("unknown line '{other}'").into()),
         }
     }
@@ -440,6 +464,8 @@
         }
     }
     (outcome.started, outcome.most_machines) = (sim.started, sim.cloud.most);
+    outcome.leaderless_s = sim.leaderless as f64 / 1e6;
+    outcome.waits = sim.waits.iter().map(|(job, wait)| waited(&sim, job, *wait)).collect();
     Ok(outcome)
 }
 
@@ -503,6 +529,21 @@
     Ok(())
 }
 
+fn waited(sim: &Sim, job: &str, wait: Us) -> Wait {
+    let plan = sim.jobs.get(job);
+    let body = plan.map(|p| &p.body);
+    let number = |name: &str| body.and_then(|b| b[name].as_f64()).unwrap_or(0.0);
+    let urgency = body.and_then(|b| b["urgency"].as_str()).unwrap_or("").to_string();
+    Wait {
+        job: job.to_string(),
+        urgency,
+        sent_s: plan.map_or(0.0, |p| p.sent.saturating_sub(START) as f64 / 1e6),
+        wait_s: wait as f64 / 1e6,
+        tasks: number("pieces") as u64,
+        cpus: number("vcpus"),
+    }
+}
+
 fn judge(sim: &mut Sim, expect: &[&[&str]]) -> Vec<String> {
     let mut wrong: Vec<String> = Vec::new();
     for words in expect {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -29,6 +29,8 @@
     pub fails: bool,
     /// What a task runs where workers run commands; else it sleeps.
     pub command: Option<String>,
+    /// When its user sends it first.
+    pub sent: Us,
 }
 
 #[derive(Default, Clone, Copy)]
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -286,6 +286,7 @@
             let body = json!({"vcpus": spec.cpus, "memoryGb": spec.memory_gb,
                 "bundle": spec.image, "jobKind": kind});
             let plan = JobPlan {
+                sent: 0,
                 body,
                 run_s: spec.expect_s,
                 fails: false,
--- a/crates/vocab/src/settings.rs
+++ b/crates/vocab/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file (TOML) and the operator's own (INI), checked
 //! before anything starts: a value that cannot work is refused by name.
 
+use crate::job::Urgency;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -130,6 +131,41 @@
     pub block_lease_s: f64,
     /// `[operators]`: the address for operators; none without `listen`.
     pub door: Option<OperatorsDoor>,
+    /// `[ageing]`: how waiting jobs rise.
+    pub ageing: Ageing,
+}
+
+/// How waiting jobs rise; see `docs/ageing.md`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ageing {
+    /// `on`: whether they rise at all.
+    pub on: bool,
+    /// `best_effort_s`, `standard_s`: how long jobs of these urgencies wait before
+    /// they rise, seconds; 0: never.
+    pub best_effort_s: f64,
+    pub standard_s: f64,
+    /// `ceiling`: the urgency that risen jobs go ahead of, and no higher one.
+    pub ceiling: Urgency,
+    /// `share`: part of the room that risen jobs hold at most while others wait.
+    pub share: f64,
+    /// `stops`: how often a task may be stopped for others ...
+    pub stops: u32,
+    /// `spared_s`: ... before it runs undisturbed for so long, seconds.
+    pub spared_s: f64,
+}
+
+impl Default for Ageing {
+    fn default() -> Self {
+        Ageing {
+            on: false,
+            best_effort_s: 2_700.0,
+            standard_s: 900.0,
+            ceiling: Urgency::High,
+            share: 0.05,
+            stops: 3,
+            spared_s: 600.0,
+        }
+    }
 }
 
 /// The operators' own address and what it takes.
@@ -156,7 +192,14 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { idle_s: 20.0, update_s: 15.0, seed: 0, block_lease_s: 60.0, door: None }
+        Operator {
+            idle_s: 20.0,
+            update_s: 15.0,
+            seed: 0,
+            block_lease_s: 60.0,
+            door: None,
+            ageing: Ageing::default(),
+        }
     }
 }
 
@@ -328,6 +371,31 @@
                     ("operators", "waiting") => door.waiting = range(1.0, 4_096.0)? as usize,
                     ("operators", "rps") => door.rps = range(1.0, 10_000.0)?,
                     ("operators", "clock_s") => door.clock_s = range(1.0, 600.0)?,
+                    ("ageing", "on") => {
+                        op.ageing.on = match value.trim() {
+                            "yes" => true,
+                            "no" => false,
+                            other => {
+                                return Err(bad(&field, format!("'{other}' is not yes or no")))
+                            }
+                        }
+                    }
+                    ("ageing", "best_effort_s") => op.ageing.best_effort_s = range(0.0, 1e6)?,
+                    ("ageing", "standard_s") => op.ageing.standard_s = range(0.0, 1e6)?,
+                    ("ageing", "ceiling") => {
+                        op.ageing.ceiling = match value.trim() {
+                            "standard" => Urgency::Standard,
+                            "high" => Urgency::High,
+                            "critical" => Urgency::Critical,
+                            other => {
+                                let why = format!("'{other}' is not standard, high or critical");
+                                return Err(bad(&field, why));
+                            }
+                        }
+                    }
+                    ("ageing", "share") => op.ageing.share = range(0.001, 0.5)?,
+                    ("ageing", "stops") => op.ageing.stops = range(0.0, 1_000.0)? as u32,
+                    ("ageing", "spared_s") => op.ageing.spared_s = range(0.0, 1e6)?,
                     _ => return Err(bad(&field, "is not a known setting")),
                 }
             }
@@ -375,6 +443,18 @@
         assert_eq!(parse("[operators]\nrps = 5\n").ok().flatten(), None);
     }
 
+    #[test]
+    fn ageing_is_off_until_it_is_turned_on() {
+        assert!(!Operator::default().ageing.on);
+        let text = "[ageing]\non = yes\nshare = 0.1\nceiling = standard\n";
+        let ageing = Operator::parse("t", text).map(|o| o.ageing).expect("sound");
+        assert_eq!((ageing.on, ageing.share, ageing.ceiling), (true, 0.1, Urgency::Standard));
+        for wrong in ["on = maybe", "share = 0", "ceiling = best_effort", "stops = -1"] {
+            let err = Operator::parse("t", &format!("[ageing]\n{wrong}\n"));
+            assert!(err.expect_err(wrong).to_string().contains("[ageing]"));
+        }
+    }
+
     #[test]
     fn the_operators_file_is_refused_with_section_and_key() {
         assert_eq!(Operator::parse("t", "[fleet]\nidle_s = 5\n").map(|o| o.idle_s).ok(), Some(5.0));
