--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -18,6 +18,8 @@
     pub team_used: Vec<(f64, f64)>,
     pub zones: BTreeMap<JobId, BTreeMap<String, u32>>,
     pub(super) budget: usize,
+    /// No machine has more CPUs free.
+    widest: f64,
     /// What is placed now gets its room as one that has risen.
     pub(super) rising: bool,
     /// Machines where a task is about to end, once asked for.
@@ -43,6 +45,8 @@
     /// So late that it may not wait for a machine that has its image.
     pressing: bool,
     wait_s: Option<f64>,
+    /// Of one task.
+    cpus: f64,
 }
 
 /// Which machines a job may take in one pass over the order.
@@ -147,9 +151,16 @@
                     if round.budget == 0 {
                         return;
                     }
+                    // In a full fleet a queue costs one look at each job, not
+                    // one at each machine for each job.
+                    if w.cpus > round.widest + EPSILON {
+                        continue;
+                    }
                     self.fill(now, &mut round, w.id, pass, u32::MAX);
                 }
             }
+            let rooms = &round.rooms;
+            round.widest = rooms.iter().map(|r| r.free.cpus).fold(0.0, f64::max);
             for w in group {
                 if !w.rank.0 {
                     self.reclaim(now, wall, &mut round, w.id, &guaranteed);
@@ -187,6 +198,7 @@
             zones: BTreeMap::new(),
             // No more than the next few transactions can carry.
             budget: (blocks::rows_per_page(self.value_limit) * 4).saturating_sub(self.plans.len()),
+            widest: 0.0,
             rising: false,
             soon: None,
         };
@@ -211,6 +223,7 @@
                 }
             }
             if let Some(shape) = m.shape.filter(|_| free.cpus > EPSILON && self.usable(now, m)) {
+                round.widest = round.widest.max(free.cpus);
                 round.rooms.push(Room { id: *id, shape, free, used: !m.is_empty() });
             }
         }
@@ -594,7 +607,7 @@
             let within = guaranteed.contains(id);
             let prompt = within && age <= bound;
             let rank = (!prompt, u8::MAX - spec.urgency as u8, late, !within);
-            order.push(Waiting { id: *id, rank, left, pressing, wait_s });
+            order.push(Waiting { id: *id, rank, left, pressing, wait_s, cpus: spec.cpus });
         }
         order.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.left.total_cmp(&b.left)));
         order
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -178,6 +178,8 @@
     pub tally: Tally,
     /// What the operators' file holds beside the door.
     pub operator: String,
+    /// Users ask for a job no more often than this, seconds.
+    pub polls_s: f64,
     /// Jobs that have not started, and when they were first sent.
     pub unstarted: BTreeMap<String, Us>,
     /// How long each job waited for its first start, microseconds.
@@ -231,6 +233,7 @@
             explained_until: 0,
             tally: Tally::default(),
             operator: String::new(),
+            polls_s: 0.0,
             unstarted: BTreeMap::new(),
             waits: Vec::new(),
             checked: 0,
@@ -790,7 +793,7 @@
         match next {
             Some(Next::Again(after_s)) => self.retry(job, what, since, after_s),
             Some(Next::Poll(after_s)) => self.push(
-                now + (after_s * 1e6) as u64,
+                now + (after_s.max(self.polls_s) * 1e6) as u64,
                 Event::UserSends { job, what: What::Poll, since: now },
             ),
             None => {}
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -374,6 +374,7 @@
         sim.operator = format!("[ageing]\n{lines}");
         Operator::parse("the scenario", &sim.operator).map_err(|e| e.to_string())?;
     }
+    sim.polls_s = get("polls", 0.0);
     (0..sim.settings.len()).for_each(|i| sim.start(i));
     let (zones, mut end) = (ZONES, 60 * SECOND);
     sim.cloud.zones = zones.iter().map(|z| z.to_string()).collect();
@@ -426,7 +427,7 @@
             "unsettled" => settles = false,
             "settle" => {}
             "nodes" | "seed" | "team-max" | "teams" | "spot" | "ordinary" | "large" | "owned"
-            | "workers" | "state" | "cloud" | "boot" | "ageing" => {}
+            | "workers" | "state" | "cloud" | "boot" | "ageing" | "polls" => {}
             other => return Err(format!("unknown line '{other}'").into()),
         }
     }
@@ -611,3 +612,16 @@
     ));
     wrong
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_job_s_wait_is_told_once() {
+        let text = "at 1 stream 7 count=3 every=1 tasks=2 cpus=2 run=4 urgency=high\nend 30\n";
+        let outcome = play(text, Faults::default()).expect("a scenario");
+        assert_eq!(outcome.waits.len(), 3, "{outcome:?}");
+        assert!(outcome.waits.iter().all(|w| w.wait_s < 10.0 && w.urgency == "high"));
+    }
+}
