--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -9,6 +9,7 @@
 use super::plan::{allows, Pass, Round};
 use super::*;
 use beamhinge_ageing::{soonest, Held, Lane, Running};
+use beamhinge_operators::reasons::Reason;
 
 impl Need {
     fn sizes(&self) -> [f64; 3] {
@@ -146,6 +147,28 @@
             .collect()
     }
 
+    /// How far a waiting job's wait has raised it.
+    pub(super) fn tell_ageing(
+        &self,
+        now: Time,
+        wall: WallMs,
+        id: JobId,
+        shapes: &[Shape],
+    ) -> Option<Reason> {
+        let job = self.jobs.get(&id).filter(|_| self.ageing.on())?;
+        let rise = self.ageing.rise(job.spec.urgency, job.spec.submitted(), wall);
+        let (risen, lane) = (self.risen(now, wall), self.lane(now, shapes));
+        Some(Reason::Ageing {
+            priority: rise.priority,
+            age_s: age_s(wall, &job.spec).max(0.0),
+            rises_in_s: rise.rises_in_s,
+            ahead: risen.iter().position(|other| *other == id).unwrap_or(0) as u32,
+            lane_cpus: lane.width(),
+            held_cpus: lane.held(),
+            kept: self.reserved.of(id).map(|h| h.machine.to_string()),
+        })
+    }
+
     /// Whether a machine is kept for another job, and this one would stay there
     /// beyond the time at which it is needed.
     pub(super) fn kept_from(&self, now: Time, machine: MachineId, id: JobId) -> bool {
--- a/crates/controller/src/placement/explain.rs
+++ b/crates/controller/src/placement/explain.rs
@@ -146,6 +146,7 @@
             return reasons.push(Reason::Undecided);
         }
         reasons.push(Reason::NoRoom { tally, near });
+        reasons.extend(self.tell_ageing(now, wall, id, shapes));
         let order = self.order(now, wall, &round, &self.guaranteed());
         let before: Vec<JobId> =
             order.iter().map(|w| w.id).take_while(|other| *other != id).collect();
--- a/crates/operators/src/reasons.rs
+++ b/crates/operators/src/reasons.rs
@@ -60,6 +60,21 @@
     Drained { target: String, since_s: f64, by: String },
     /// Other jobs get the next room.
     Behind { jobs: u32, tasks: u32, first: Vec<String> },
+    /// How far its wait has raised it, where waiting jobs rise. `rises_in_s` is
+    /// not positive for one that has risen, and absent for one that never does;
+    /// `kept` is the machine that is kept for its next task.
+    Ageing {
+        priority: f64,
+        age_s: f64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rises_in_s: Option<f64>,
+        /// Risen jobs that go before it.
+        ahead: u32,
+        lane_cpus: f64,
+        held_cpus: f64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        kept: Option<String>,
+    },
     /// Placed, but the machine still fetches the image.
     Fetching { tasks: u32, image: String, image_gb: f64, longest_s: f64 },
     /// Placed; the start goes out with the machine's next report.
@@ -98,6 +113,7 @@
             Reason::MarketRefused { .. } => "market_refused",
             Reason::Drained { .. } => "drained",
             Reason::Behind { .. } => "behind",
+            Reason::Ageing { .. } => "ageing",
             Reason::Fetching { .. } => "fetching",
             Reason::Starting { .. } => "starting",
             Reason::Ahead { .. } => "ahead",
@@ -201,6 +217,21 @@
             Reason::Behind { jobs, tasks, first } => {
                 write!(f, "behind {jobs} jobs with {tasks} waiting tasks: {}", first.join(", "))
             }
+            Reason::Ageing { priority, age_s, rises_in_s, ahead, lane_cpus, held_cpus, kept } => {
+                write!(f, "priority {priority:.1} after {age_s:.0} s")?;
+                match rises_in_s {
+                    Some(s) if *s > 0.0 => write!(f, "; it rises in {s:.0} s"),
+                    Some(_) => write!(
+                        f,
+                        "; risen, behind {ahead} others, {held_cpus:.0} of {lane_cpus:.0} CPUs of the lane are held"
+                    ),
+                    None => write!(f, "; it does not rise"),
+                }?;
+                match kept {
+                    Some(machine) => write!(f, "; {machine} is kept for it"),
+                    None => Ok(()),
+                }
+            }
             Reason::Fetching { tasks, image, image_gb, longest_s } => write!(
                 f,
                 "{tasks} tasks wait for image {image} ({image_gb} GB), the longest for {longest_s:.0} s"
