--- a/crates/vocab/src/settings.rs
+++ b/crates/vocab/src/settings.rs
@@ -449,6 +449,9 @@
         let text = "[ageing]\non = yes\nshare = 0.1\nceiling = standard\n";
         let ageing = Operator::parse("t", text).map(|o| o.ageing).expect("sound");
         assert_eq!((ageing.on, ageing.share, ageing.ceiling), (true, 0.1, Urgency::Standard));
+        let shipped = include_str!("../../../deploy/ageing.ini");
+        let shipped = Operator::parse("ageing.ini", shipped).map(|o| o.ageing);
+        assert_eq!(shipped.ok(), Some(Ageing { on: true, ..Ageing::default() }));
         for wrong in ["on = maybe", "share = 0", "ceiling = best_effort", "stops = -1"] {
             let err = Operator::parse("t", &format!("[ageing]\n{wrong}\n"));
             assert!(err.expect_err(wrong).to_string().contains("[ageing]"));
