--- a/crates/ageing/src/policy.rs
+++ b/crates/ageing/src/policy.rs
@@ -56,11 +56,6 @@
         Some(submitted.0.saturating_add(patience_ms))
     }
 
-    /// Whether a job has risen by this time of day.
-    pub fn risen(&self, urgency: Urgency, submitted: WallMs, wall: WallMs) -> bool {
-        self.rises_at_ms(urgency, submitted).is_some_and(|at| at <= wall.0)
-    }
-
     /// Where a job stands, for people: its priority grows evenly from its urgency
     /// to the ceiling, and stays there.
     pub fn rise(&self, urgency: Urgency, submitted: WallMs, wall: WallMs) -> Rise {
@@ -111,13 +106,13 @@
         assert_eq!(at(Urgency::BestEffort, s.best_effort_s * 9.0).priority, 2.0);
         assert_eq!(at(Urgency::Standard, s.standard_s).rises_in_s, Some(0.0));
         assert_eq!(at(Urgency::High, 1e6), Rise { priority: 2.0, rises_in_s: None });
-        assert!(!p.risen(Urgency::Critical, WallMs(0), WallMs(u64::MAX)));
+        assert_eq!(p.rises_at_ms(Urgency::Critical, WallMs(0)), None);
     }
 
     #[test]
     fn off_nothing_rises() {
         let p = Policy::new(Ageing::default());
-        assert!(!p.on() && !p.risen(Urgency::BestEffort, WallMs(0), WallMs(u64::MAX)));
+        assert!(!p.on() && p.rises_at_ms(Urgency::BestEffort, WallMs(0)).is_none());
     }
 
     /// Two controllers whose clocks are apart by the whole skew see one order.
--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -18,6 +18,13 @@
 }
 
 impl Placement {
+    /// When a job rises, milliseconds of the time of day. Services never do: one
+    /// in the lane would hold it for ever.
+    fn rises_at_ms(&self, spec: &JobSpec) -> Option<u64> {
+        let ends = spec.kind == JobKind::Batch;
+        ends.then(|| self.ageing.rises_at_ms(spec.urgency, spec.submitted())).flatten()
+    }
+
     /// Waiting jobs that have risen, the one that rose first in front.
     pub(super) fn risen(&self, now: Time, wall: WallMs) -> Vec<JobId> {
         if !self.ageing.on() {
@@ -26,7 +33,7 @@
         let waits = self.jobs.iter().filter(|(_, j)| self.pause(now, j).is_none());
         let mut risen: Vec<(u64, JobId)> = waits
             .filter_map(|(id, j)| {
-                let at = self.ageing.rises_at_ms(j.spec.urgency, j.spec.submitted())?;
+                let at = self.rises_at_ms(&j.spec)?;
                 (at <= wall.0).then_some((at, *id))
             })
             .collect();
@@ -155,7 +162,8 @@
         id: JobId,
         shapes: &[Shape],
     ) -> Option<Reason> {
-        let job = self.jobs.get(&id).filter(|_| self.ageing.on())?;
+        let job = self.jobs.get(&id)?;
+        self.rises_at_ms(&job.spec)?;
         let rise = self.ageing.rise(job.spec.urgency, job.spec.submitted(), wall);
         let (risen, lane) = (self.risen(now, wall), self.lane(now, shapes));
         Some(Reason::Ageing {
@@ -191,10 +199,8 @@
             return false;
         }
         let (limit, spared_s) = (self.ageing.stops(), self.ageing.spared_s());
-        let risen = self
-            .jobs
-            .get(&task.job)
-            .is_some_and(|j| e.lane || self.ageing.risen(j.spec.urgency, j.spec.submitted(), wall));
+        let rose = |j: &Job| self.rises_at_ms(&j.spec).is_some_and(|at| at <= wall.0);
+        let risen = e.lane || self.jobs.get(&task.job).is_some_and(rose);
         (risen && urgency <= self.ageing.ceiling())
             || !self.made_room.may_stop(task, e.ran_s(now), limit, spared_s)
     }
