--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -35,6 +35,9 @@
     /// What the controllers of a day log: error, info or debug; one day only
     #[arg(long, value_name = "LEVEL", requires = "day")]
     log: Option<String>,
+    /// Waiting jobs rise, after 30 and 15 seconds
+    #[arg(long)]
+    ageing: bool,
     /// Days that are played at the same time
     #[arg(long, default_value_t = 6)]
     jobs: usize,
@@ -58,7 +61,11 @@
         Some(Broken::Hasty) => faults.hasty = true,
         None => {}
     }
-    let plan = plan(seed, size, o)?;
+    let mut plan = plan(seed, size, o)?;
+    if o.ageing {
+        let line = "ageing on=yes best_effort_s=30 standard_s=15\n";
+        plan.iter_mut().for_each(|d| d.text.insert_str(0, line));
+    }
     if let (Some(path), Some(day)) = (&o.write, plan.first()) {
         std::fs::write(path, &day.text)?;
     }
