Read again: one formula of the lane's rate, one tightest flow, starts kept once

The lab and the bound's own test each had a copy of what the lane carries and of the tightest flow; the simulator kept when a job was sent beside its plan. A scan no longer counts as a mirror's success: a watch refused after every scan would have the whole copy read again and again. A machine that woke and is not answered within a lease counts as healthy again. explain tells jobs that never rise so.

--- a/crates/ageing/src/bound.rs
+++ b/crates/ageing/src/bound.rs
@@ -25,6 +25,22 @@
     pub per_s: f64,
 }
 
+impl Flow {
+    /// The tightest flow of this rate that describes what rose: times in seconds,
+    /// ascending, with how many tasks rose then.
+    pub fn tightest(per_s: f64, rises: &[(f64, f64)]) -> Flow {
+        let mut burst: f64 = 0.0;
+        for (i, from) in rises.iter().enumerate() {
+            let mut tasks = 0.0;
+            for to in rises.iter().skip(i) {
+                tasks += to.1;
+                burst = burst.max(tasks - per_s * (to.0 - from.0));
+            }
+        }
+        Flow { burst, per_s }
+    }
+}
+
 /// The tasks that rise, and those that run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Crowd {
@@ -59,6 +75,19 @@
     Overload { per_s: f64, carried: f64, share: f64 },
 }
 
+/// Tasks of the widest size that are in the lane side by side, and the seconds
+/// in which each is out of it again.
+fn lanes(policy: &Policy, widest_cpus: f64, longest_s: f64, cpus: f64) -> (f64, f64) {
+    let abreast = (policy.width(cpus) / widest_cpus.max(1e-9) + 1e-9).floor().max(1.0);
+    (abreast, 3.0 * longest_s)
+}
+
+/// Tasks a second that the lane is sure to carry in a fleet of so many CPUs.
+pub fn carried_per_s(policy: &Policy, widest_cpus: f64, longest_s: f64, cpus: f64) -> f64 {
+    let (abreast, held_s) = lanes(policy, widest_cpus, longest_s, cpus);
+    abreast / held_s
+}
+
 /// The longest wait from its submission to its first start of any job of this
 /// urgency, seconds.
 ///
@@ -72,8 +101,7 @@
 ) -> Result<f64, Unbounded> {
     let patience_s = policy.patience_s(urgency).ok_or(Unbounded::Exempt)?;
     let width = policy.width(room.cpus);
-    let abreast = (width / crowd.widest_cpus.max(1e-9) + 1e-9).floor().max(1.0);
-    let held_s = 3.0 * crowd.longest_s;
+    let (abreast, held_s) = lanes(policy, crowd.widest_cpus, crowd.longest_s, room.cpus);
     let carried = abreast / held_s;
     if crowd.flow.per_s > carried {
         let share = if room.cpus > 0.0 { width / room.cpus } else { 0.0 };
@@ -150,16 +178,10 @@
             let widest = drawn.iter().map(|d| d.1).fold(0.0, f64::max);
             let mut at = 0.0;
             let rising: Vec<Rising> = drawn.iter().map(|d| { at += d.0; (at, d.1, d.2, d.3) }).collect();
-            let abreast = (width / widest + 1e-9).floor().max(1.0);
-            let per_s = abreast / (3.0 * longest_s);
-            // The burst that this rate leaves: the most that any window has beyond it.
-            let mut burst: f64 = 1.0;
-            for (i, a) in rising.iter().enumerate() {
-                for (j, b) in rising.iter().enumerate().skip(i) {
-                    burst = burst.max((j - i + 1) as f64 - per_s * (b.0 - a.0));
-                }
-            }
-            let crowd = Crowd { flow: Flow { burst, per_s }, widest_cpus: widest, longest_s };
+            let per_s = carried_per_s(&p, widest, longest_s, cpus);
+            let rises: Vec<(f64, f64)> = rising.iter().map(|r| (r.0, 1.0)).collect();
+            let flow = Flow::tightest(per_s, &rises);
+            let crowd = Crowd { flow, widest_cpus: widest, longest_s };
             let room = Room { cpus, standstill_s: 0.0 };
             let bound = longest_wait_s(&p, Urgency::Standard, &crowd, &room).expect("a bound");
             let waited = play(width, longest_s, &rising) + Ageing::default().standard_s;
--- a/crates/ageing/src/lib.rs
+++ b/crates/ageing/src/lib.rs
@@ -16,7 +16,7 @@
 mod reserve;
 mod stops;
 
-pub use bound::{longest_wait_s, Crowd, Flow, Room, Unbounded};
+pub use bound::{carried_per_s, longest_wait_s, Crowd, Flow, Room, Unbounded};
 pub use lane::Lane;
 pub use policy::{Policy, Rise};
 pub use reserve::{soonest, Held, Reservations, Running};
--- a/crates/controller/src/mirror.rs
+++ b/crates/controller/src/mirror.rs
@@ -162,7 +162,8 @@
                     self.course.busy(now);
                     return Update::nothing(Freshness::Failed);
                 };
-                self.course.succeeded();
+                // Not yet a success: a watch that is refused after every scan would
+                // have the whole copy read again and again without a pause.
                 self.on_page(page, reply.sent)
             }
             Outcome::Ok(body) => {
@@ -187,8 +188,7 @@
             // Changes from before the kept ones are not to be had, nor those after a
             // revision that the service never gave out: only a new scan leads on.
             Outcome::Gone | Outcome::Malformed => {
-                let gone = matches!(reply.outcome, Outcome::Gone);
-                if !gone {
+                if matches!(reply.outcome, Outcome::Malformed) {
                     self.course.busy(now);
                 }
                 self.loaded = false;
--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -162,14 +162,13 @@
         id: JobId,
         shapes: &[Shape],
     ) -> Option<Reason> {
-        let job = self.jobs.get(&id)?;
-        self.rises_at_ms(&job.spec)?;
+        let job = self.jobs.get(&id).filter(|_| self.ageing.on())?;
         let rise = self.ageing.rise(job.spec.urgency, job.spec.submitted(), wall);
         let (risen, lane) = (self.risen(now, wall), self.lane(now, shapes));
         Some(Reason::Ageing {
             priority: rise.priority,
             age_s: age_s(wall, &job.spec).max(0.0),
-            rises_in_s: rise.rises_in_s,
+            rises_in_s: self.rises_at_ms(&job.spec).and(rise.rises_in_s),
             ahead: risen.iter().position(|other| *other == id).unwrap_or(0) as u32,
             lane_cpus: lane.width(),
             held_cpus: lane.held(),
--- a/crates/lab/src/ageing.rs
+++ b/crates/lab/src/ageing.rs
@@ -2,7 +2,7 @@
 //! waits behind it, with ageing and without.
 
 use crate::LabError;
-use beamhinge_ageing::{longest_wait_s, Crowd, Flow, Policy, Room};
+use beamhinge_ageing::{carried_per_s, longest_wait_s, Crowd, Flow, Policy, Room};
 use beamhinge_controller::faults::Faults;
 use beamhinge_sim::scenario::{self, Outcome, Wait};
 use beamhinge_vocab::job::Urgency;
@@ -109,17 +109,9 @@
     }
     rises.sort_by(|a, b| a.0.total_cmp(&b.0));
     let cpus = MACHINES as f64 * 8.0;
-    let abreast = (policy.width(cpus) / widest).floor().max(1.0);
-    let per_s = abreast / (3.0 * LONGEST_S);
-    let mut burst: f64 = 0.0;
-    for (i, from) in rises.iter().enumerate() {
-        let mut tasks = 0.0;
-        for to in rises.iter().skip(i) {
-            tasks += to.1;
-            burst = burst.max(tasks - per_s * (to.0 - from.0));
-        }
-    }
-    let crowd = Crowd { flow: Flow { burst, per_s }, widest_cpus: widest, longest_s: LONGEST_S };
+    let per_s = carried_per_s(policy, widest, LONGEST_S, cpus);
+    let flow = Flow::tightest(per_s, &rises);
+    let crowd = Crowd { flow, widest_cpus: widest, longest_s: LONGEST_S };
     let standstill_s = takeovers * (outcome.leaderless_s + 2.0 * LONGEST_S);
     let room = Room { cpus, standstill_s };
     longest_wait_s(policy, Urgency::BestEffort, &crowd, &room)
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -180,10 +180,10 @@
     pub operator: String,
     /// Users ask for a job no more often than this, seconds.
     pub polls_s: f64,
-    /// Jobs that have not started, and when they were first sent.
-    pub unstarted: BTreeMap<String, Us>,
-    /// How long each job waited for its first start, microseconds.
-    pub waits: Vec<(String, Us)>,
+    /// Jobs that have not started.
+    pub unstarted: BTreeSet<String>,
+    /// When each job started first.
+    pub first_starts: Vec<(String, Us)>,
     checked: Us,
     /// When the watches are looked at next.
     next_watch: Us,
@@ -234,8 +234,8 @@
             tally: Tally::default(),
             operator: String::new(),
             polls_s: 0.0,
-            unstarted: BTreeMap::new(),
-            waits: Vec::new(),
+            unstarted: BTreeSet::new(),
+            first_starts: Vec::new(),
             checked: 0,
             next_watch: Us::MAX,
             on_machines: OnMachines::default(),
@@ -822,8 +822,11 @@
         let Some(w) = self.lose(machine) else { return };
         // One that hung beyond the limit of silence is given back with cause, also
         // when it wakes while the call is on its way: until a controller has
-        // answered it again, nobody can know.
-        let ill = (w.hang_until > 0 && !w.answered_since(w.hang_until))
+        // answered it again, nobody can know. Whoever does not within a lease has
+        // given a healthy machine away.
+        let lease = (self.settings[0].params.workers.lease_s * 1e6) as Us;
+        let woken = self.now >= w.hang_until + lease || w.answered_since(w.hang_until);
+        let ill = (w.hang_until > 0 && !woken)
             || self.now < w.cut_until
             || w.sick
             || w.slow > 1.0
@@ -942,8 +945,8 @@
         if !self.unstarted.is_empty() {
             for t in w.on_machine() {
                 let job = t.piece.split('/').next().unwrap_or("");
-                if let Some(sent) = self.unstarted.remove(job) {
-                    self.waits.push((job.to_string(), self.now - sent));
+                if self.unstarted.remove(job) {
+                    self.first_starts.push((job.to_string(), self.now));
                 }
             }
         }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -140,7 +140,7 @@
 
 fn plan_job(sim: &mut Sim, body: serde_json::Value, run_s: f64, fails: bool, at: Us) {
     let id = body["nameId"].as_str().unwrap_or_default().to_string();
-    sim.unstarted.insert(id.clone(), at);
+    sim.unstarted.insert(id.clone());
     sim.jobs.insert(id.clone(), JobPlan { body, run_s, fails, command: None, sent: at });
     sim.push(at, Event::UserSends { job: id, what: What::Submit, since: at });
 }
@@ -466,7 +466,8 @@
     }
     (outcome.started, outcome.most_machines) = (sim.started, sim.cloud.most);
     outcome.leaderless_s = sim.leaderless as f64 / 1e6;
-    outcome.waits = sim.waits.iter().map(|(job, wait)| waited(&sim, job, *wait)).collect();
+    outcome.waits =
+        sim.first_starts.iter().filter_map(|(job, at)| waited(&sim, job, *at)).collect();
     Ok(outcome)
 }
 
@@ -530,19 +531,17 @@
     Ok(())
 }
 
-fn waited(sim: &Sim, job: &str, wait: Us) -> Wait {
-    let plan = sim.jobs.get(job);
-    let body = plan.map(|p| &p.body);
-    let number = |name: &str| body.and_then(|b| b[name].as_f64()).unwrap_or(0.0);
-    let urgency = body.and_then(|b| b["urgency"].as_str()).unwrap_or("").to_string();
-    Wait {
+fn waited(sim: &Sim, job: &str, started: Us) -> Option<Wait> {
+    let plan = sim.jobs.get(job)?;
+    let number = |name: &str| plan.body[name].as_f64().unwrap_or(0.0);
+    Some(Wait {
         job: job.to_string(),
-        urgency,
-        sent_s: plan.map_or(0.0, |p| p.sent.saturating_sub(START) as f64 / 1e6),
-        wait_s: wait as f64 / 1e6,
+        urgency: plan.body["urgency"].as_str().unwrap_or("").to_string(),
+        sent_s: plan.sent.saturating_sub(START) as f64 / 1e6,
+        wait_s: started.saturating_sub(plan.sent) as f64 / 1e6,
         tasks: number("pieces") as u64,
         cpus: number("vcpus"),
-    }
+    })
 }
 
 fn judge(sim: &mut Sim, expect: &[&[&str]]) -> Vec<String> {
