Making room is a plan: one machine, one waiting task, a place kept for it

Cause: with a guest team at the fleet's size the service nearly ate itself: room was added up in CPUs over the whole fleet, the youngest tasks were stopped wherever they were, nothing kept their room, and what was stopped was placed there again; after a takeover all that ran passed for young.

Change: a package of its own (crates/room) chooses victims by machine so that one waiting task fits, keeps the place for it until it runs, bounds open places by a window that follows the starts they bring, spares what was stopped often, and leaves each party a part. Guarantees use the same code; idle-time work now makes room for work with a deadline. One place in the code stops tasks for others.

--- a/crates/ageing/src/lib.rs
+++ b/crates/ageing/src/lib.rs
@@ -14,10 +14,8 @@
 mod lane;
 mod policy;
 mod reserve;
-mod stops;
 
 pub use bound::{carried_per_s, longest_wait_s, Crowd, Flow, Room, Unbounded};
 pub use lane::Lane;
 pub use policy::{Policy, Rise};
 pub use reserve::{soonest, Held, Reservations, Running};
-pub use stops::Stops;
--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -12,7 +12,7 @@
 use beamhinge_operators::reasons::Reason;
 
 impl Need {
-    fn sizes(&self) -> [f64; 3] {
+    pub(super) fn sizes(&self) -> [f64; 3] {
         [self.cpus, self.gpus, self.memory_gb]
     }
 }
@@ -185,30 +185,8 @@
         holder != id && !passes
     }
 
-    /// Whether a running task may not be stopped for work of this urgency: it has
-    /// risen as far, or was stopped so often that its time has come.
-    pub(super) fn spared(
-        &self,
-        now: Time,
-        wall: WallMs,
-        (task, e): (TaskId, &Entry),
-        urgency: Urgency,
-    ) -> bool {
-        if !self.ageing.on() {
-            return false;
-        }
-        let (limit, spared_s) = (self.ageing.stops(), self.ageing.spared_s());
-        let rose = |j: &Job| self.rises_at_ms(&j.spec).is_some_and(|at| at <= wall.0);
-        let risen = e.lane || self.jobs.get(&task.job).is_some_and(rose);
-        (risen && urgency <= self.ageing.ceiling())
-            || !self.made_room.may_stop(task, e.ran_s(now), limit, spared_s)
-    }
-
-    /// A task is stopped for another's sake.
-    pub(super) fn make_room(&mut self, machine: MachineId, task: TaskId, why: &str) {
-        if self.ageing.on() {
-            self.made_room.stopped(task);
-        }
-        self.stop(machine, task, why);
+    /// Whether a task has risen: it is not stopped for work up to the ceiling.
+    pub(super) fn rose(&self, wall: WallMs, e: &Entry, job: &Job) -> bool {
+        self.ageing.on() && (e.lane || self.rises_at_ms(&job.spec).is_some_and(|at| at <= wall.0))
     }
 }
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -203,6 +203,7 @@
                     page: Some(no),
                     placed: now,
                     ahead: None,
+                    kept: false,
                     lane: false,
                 },
             );
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -14,10 +14,11 @@
 use crate::ledger::{Committed, Full, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
 use crate::progress::{self, Open, Progress, Shelved, Shelves};
 use crate::split::{Demand, Need, Shape, EPSILON};
-use beamhinge_ageing::{Policy, Reservations, Stops};
+use beamhinge_ageing::{Policy, Reservations};
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
+use beamhinge_room::{Figures, Places, Stops};
 use beamhinge_suspicion::Rhythm;
 use beamhinge_vocab::messages::Counts;
 use beamhinge_vocab::settings::Settings;
@@ -34,6 +35,9 @@
 mod obey;
 mod plan;
 mod reports;
+mod room;
+#[cfg(feature = "faults")]
+mod scattered;
 
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -116,6 +120,8 @@
     /// Placed before there was room, and when: it runs as soon as something
     /// else ends there.
     ahead: Option<Time>,
+    /// Placed ahead where others were stopped for it: nobody else gets that room.
+    kept: bool,
     /// It got its room as one that has risen, and counts against their lane.
     lane: bool,
 }
@@ -172,6 +178,7 @@
             page: None,
             placed: now,
             ahead,
+            kept: false,
             lane: false,
         }
     }
@@ -233,7 +240,8 @@
     /// Room that is not promised either: without what was planned into it.
     fn unpromised(&self, shapes: &[Shape], jobs: &BTreeMap<JobId, Job>) -> Need {
         let mut free = self.free(shapes, jobs);
-        for e in self.entries.values().filter(|e| e.ahead.is_none() && !e.may_be_there()) {
+        let promised = |e: &&Entry| (e.ahead.is_none() || e.kept) && !e.may_be_there();
+        for e in self.entries.values().filter(promised) {
             free.sub(&e.need);
         }
         free
@@ -359,14 +367,6 @@
     RefreshJobs,
 }
 
-/// A job that found no room though its class may not wait.
-struct Pressed {
-    urgency: Urgency,
-    cpus: f64,
-    within_s: f64,
-    spec: Rc<JobSpec>,
-}
-
 /// How often machines are looked over for silence.
 const SILENCE_S: f64 = 0.2;
 /// Tasks of a job that must have ended before it is judged by them.
@@ -392,6 +392,10 @@
     reserved: Reservations,
     /// Tasks that were stopped for others.
     made_room: Stops,
+    /// Places that are kept for those they were stopped for.
+    places: Places,
+    /// When all that could be stopped was looked at last.
+    room_at: Time,
     machines: BTreeMap<MachineId, Machine>,
     jobs: BTreeMap<JobId, Job>,
     pages: Pages,
@@ -429,6 +433,9 @@
     /// The fault of old that a transaction takes more than may be.
     #[cfg(feature = "faults")]
     pub unbounded: bool,
+    /// The fault of old that room is made all over the fleet, for nobody.
+    #[cfg(feature = "faults")]
+    pub scattered: bool,
     planned_at: Time,
     silence_at: Time,
     replan: bool,
@@ -466,6 +473,8 @@
             ageing,
             reserved: Reservations::default(),
             made_room: Stops::new(STOPS_KNOWN),
+            places: Places::default(),
+            room_at: Time::default(),
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             pages: Pages::new(token),
@@ -492,6 +501,8 @@
             rhythm: Rhythm::new(w.report_s),
             #[cfg(feature = "faults")]
             unbounded: false,
+            #[cfg(feature = "faults")]
+            scattered: false,
             planned_at: Time::default(),
             silence_at: Time::default(),
             replan: true,
@@ -541,6 +552,16 @@
         (heard, silent)
     }
 
+    /// What making room came to in this term.
+    pub fn room_made(&self) -> &Figures {
+        &self.places.figures
+    }
+
+    /// Places kept now, and how many there may be.
+    pub fn places(&self) -> (usize, usize) {
+        (self.places.open(), self.places.window())
+    }
+
     /// When the books last moved.
     pub fn moved(&self) -> Time {
         self.moved
@@ -750,6 +771,10 @@
         if let Some(page) = e.page {
             self.pages.release(page);
         }
+        // Those who wait for its end wait no longer; its own place, if it never
+        // began there, came to nothing.
+        self.places.ended(machine, task);
+        self.places.lapsed(now, task, e.attempt);
         if m.entries.is_empty() {
             m.idle_since = now;
         }
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -1,5 +1,6 @@
 //! First fit: which waiting task goes where, and what makes room for it.
 
+use super::room::{Claim, MakingRoom, Why};
 use super::*;
 
 /// A machine with room, as one round of planning sees it.
@@ -24,6 +25,8 @@
     pub(super) rising: bool,
     /// Machines where a task is about to end, once asked for.
     soon: Option<Vec<Soon>>,
+    /// Where room can be made, once asked for.
+    pub(super) making: Option<MakingRoom>,
 }
 
 /// A machine where something is about to end.
@@ -40,11 +43,11 @@
     pub id: JobId,
     /// What its team's guarantee still lets start at once, urgency, what can no
     /// longer be in time, borrowed room: lowest first.
-    rank: (bool, u8, u8, bool),
+    pub(super) rank: (bool, u8, u8, bool),
     left: f64,
     /// So late that it may not wait for a machine that has its image.
-    pressing: bool,
-    wait_s: Option<f64>,
+    pub(super) pressing: bool,
+    pub(super) wait_s: Option<f64>,
     /// Of one task.
     cpus: f64,
 }
@@ -59,8 +62,8 @@
     Any,
 }
 
-/// Part of its run time up to which a task counts as hardly begun.
-const YOUNG: f64 = 0.15;
+/// Jobs that make room for themselves in one round.
+const MOST_CLAIMS: usize = 24;
 
 /// Part of the time to its aim that a job leaves to others' images.
 const PATIENT: f64 = 0.7;
@@ -136,7 +139,7 @@
         let mut round = self.round(now, settings, shapes);
         let guaranteed = self.guaranteed();
         let order = self.order(now, wall, &round, &guaranteed);
-        let mut pressed: Vec<Pressed> = Vec::new();
+        let mut claims: Vec<Claim> = Vec::new();
         let ceiling = u8::MAX - self.ageing.ceiling() as u8;
         let mut lane_due = true;
         for group in order.chunk_by(|a, b| a.rank == b.rank) {
@@ -163,25 +166,19 @@
             round.widest = rooms.iter().map(|r| r.free.cpus).fold(0.0, f64::max);
             for w in group {
                 if !w.rank.0 {
-                    self.reclaim(now, wall, &mut round, w.id, &guaranteed);
+                    let claim = Claim { job: w.id, why: Why::Guarantee, within_s: 0.0 };
+                    self.make_room(now, wall, &mut round, &claim, &guaranteed);
                 }
                 // What may not wait makes room for itself instead.
                 if w.wait_s.is_none() {
                     self.fill_ahead(now, &mut round, w.id, w.pressing);
                 }
-                let Some(job) = self.jobs.get(&w.id) else { continue };
-                let waiting = job.waiting();
-                if let (Some(within), true) = (w.wait_s, waiting > 0 && w.rank.2 < 2) {
-                    pressed.push(Pressed {
-                        urgency: job.spec.urgency,
-                        cpus: f64::from(waiting) * job.spec.cpus,
-                        within_s: (within - age_s(wall, &job.spec)).max(1.0),
-                        spec: job.spec.clone(),
-                    });
-                }
+                claims.extend(self.claim(wall, w));
             }
         }
-        self.preempt(now, wall, &pressed, shapes);
+        for claim in claims.iter().take(MOST_CLAIMS) {
+            self.make_room(now, wall, &mut round, claim, &guaranteed);
+        }
     }
 
     pub(super) fn round<'a>(
@@ -201,6 +198,7 @@
             widest: 0.0,
             rising: false,
             soon: None,
+            making: None,
         };
         for (id, m) in &self.machines {
             let free = m.unpromised(shapes, &self.jobs);
@@ -231,7 +229,7 @@
     }
 
     /// Whether a machine may get tasks.
-    fn usable(&self, now: Time, m: &Machine) -> bool {
+    pub(super) fn usable(&self, now: Time, m: &Machine) -> bool {
         self.hindrance(now, m).is_none()
     }
 
@@ -284,7 +282,7 @@
 
     /// How far ahead the end of a task is looked for: a machine that must wait
     /// for its next report to get work stands idle for so long.
-    fn horizon_s(&self) -> f64 {
+    pub(super) fn horizon_s(&self) -> f64 {
         self.report_s * 2.0 + 1.0
     }
 
@@ -298,12 +296,21 @@
                 continue;
             }
             let mut free = m.unpromised(shapes, &self.jobs);
-            for (task, e) in &mut m.entries {
+            let kept = |e: &Entry| e.kept && !e.may_be_there();
+            m.entries.values().filter(|e| kept(e)).for_each(|e| free.add(&e.need));
+            let mut ahead: Vec<(&TaskId, &mut Entry)> =
+                m.entries.iter_mut().filter(|(_, e)| e.ahead.is_some()).collect();
+            // Kept places first, the one that was asked for first in front.
+            ahead.sort_by_key(|(_, e)| (!e.kept, e.attempt));
+            for (task, e) in ahead {
                 let Some(since) = e.ahead else { continue };
-                if e.need.fits(&free) {
+                let fits = e.need.fits(&free);
+                if fits || e.kept {
                     free.sub(&e.need);
-                    e.ahead = None;
-                } else if now.since(since) > patience {
+                }
+                if fits {
+                    (e.ahead, e.kept) = (None, false);
+                } else if now.since(since) > patience && !self.places.owed(*task, e.attempt) {
                     ended.push((*id, *task));
                 }
             }
@@ -376,7 +383,7 @@
         fits.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         for (_, _, i) in fits {
             let machine = soon[i].id;
-            if !self.put(now, round, machine, id, Some(now)) {
+            if self.put(now, round, machine, id, Some(now)).is_none() {
                 break;
             }
             soon[i].ahead = Some(spec.urgency);
@@ -384,30 +391,28 @@
         round.soon = Some(soon);
     }
 
-    /// Plans the job's next task for a machine; false when none may start.
-    fn put(
+    /// Plans the job's next task for a machine; none when none may start.
+    pub(super) fn put(
         &mut self,
         now: Time,
         round: &mut Round,
         machine: MachineId,
         id: JobId,
         ahead: Option<Time>,
-    ) -> bool {
-        let Some(need) = self.jobs.get(&id).map(Job::need) else { return false };
+    ) -> Option<TaskId> {
+        let need = self.jobs.get(&id).map(Job::need)?;
         let team = self.jobs.get(&id).and_then(|j| round.settings.team(&j.spec.team));
         if team.is_some_and(|t| self.over_limit(round.team_used[t], t, &need).is_some()) {
-            return false;
+            return None;
         }
         if round.budget == 0 {
-            return false;
+            return None;
         }
-        let (Some(job), Some(m)) = (self.jobs.get_mut(&id), self.machines.get_mut(&machine)) else {
-            return false;
-        };
-        let Some(index) = job.next_task(now) else { return false };
+        let (job, m) = (self.jobs.get_mut(&id)?, self.machines.get_mut(&machine)?);
+        let index = job.next_task(now)?;
         let task = TaskId { job: id, index };
         if m.entries.contains_key(&task) {
-            return false;
+            return None;
         }
         self.next_attempt += 1;
         let attempt = Attempt(self.next_attempt);
@@ -431,8 +436,11 @@
             round.team_used[t].0 += need.cpus;
             round.team_used[t].1 += need.gpus;
         }
+        if let (Some(making), None) = (&mut round.making, ahead) {
+            making.sites.used(machine, &need.sizes());
+        }
         round.budget -= 1;
-        true
+        Some(task)
     }
 
     /// Jobs that fit into their team's guarantee together with its earlier
@@ -468,87 +476,6 @@
         within
     }
 
-    /// Takes room back for a job within its team's guarantee: tasks that have
-    /// hardly begun, of teams that use more than theirs, make room, and the
-    /// job's tasks are placed ahead where they were.
-    fn reclaim(
-        &mut self,
-        now: Time,
-        wall: WallMs,
-        round: &mut Round,
-        id: JobId,
-        guaranteed: &BTreeSet<JobId>,
-    ) {
-        let Some(job) = self.jobs.get(&id).filter(|j| j.waiting() > 0) else { return };
-        let (spec, need) = (job.spec.clone(), job.need());
-        if spec.one_zone || spec.spread {
-            return;
-        }
-        let own = round.settings.team(&spec.team);
-        let over: Vec<f64> = (0..self.teams.len())
-            .map(|t| round.team_used[t].0 - self.teams[t].0)
-            .map(|over| over.max(0.0))
-            .collect();
-        let mut offers: Vec<(bool, f64, MachineId, Vec<TaskId>)> = Vec::new();
-        for (machine, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
-            let Some(shape) = m.shape.and_then(|s| round.shapes.get(s)) else { continue };
-            // One at a time: what was stopped here has yet to end.
-            if !allows(&spec, shape, m) || m.entries.values().any(|e| e.kill.is_some()) {
-                continue;
-            }
-            let mut young: Vec<(f64, TaskId, Need)> = Vec::new();
-            for (task, e) in &m.entries {
-                let Some(j) = self.jobs.get(&task.job) else { continue };
-                let borrowed = e.team != own && e.team.is_some_and(|t| over[t] >= e.need.cpus);
-                let ran = e.ran_s(now);
-                let begun = matches!(e.state, State::Seen(_)) && !e.inherited;
-                if borrowed
-                    && begun
-                    && !guaranteed.contains(&task.job)
-                    && ran < self.run_s(j) * YOUNG
-                    && !self.spared(now, wall, (*task, e), Urgency::Critical)
-                {
-                    young.push((ran, *task, e.need));
-                }
-            }
-            young.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut free = m.free(round.shapes, &self.jobs);
-            let (mut cost, mut victims) = (0.0, Vec::new());
-            for (ran, task, n) in young {
-                if need.fits(&free) {
-                    break;
-                }
-                free.add(&n);
-                cost += (ran + 1.0) * n.cpus;
-                victims.push(task);
-            }
-            if !victims.is_empty() && need.fits(&free) {
-                offers.push((!m.images.contains(&spec.image), cost, *machine, victims));
-            }
-        }
-        offers.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, machine, victims) in offers {
-            if !self.put(now, round, machine, id, Some(now)) {
-                break;
-            }
-            // What was placed ahead by others has not begun: it goes elsewhere.
-            let aside: Vec<TaskId> = match self.machines.get(&machine) {
-                Some(m) => {
-                    let ahead = m.entries.iter().filter(|(_, e)| e.ahead.is_some());
-                    ahead.map(|(t, _)| *t).filter(|t| !guaranteed.contains(&t.job)).collect()
-                }
-                None => continue,
-            };
-            for task in aside {
-                self.end(now, machine, task, false, 0.0);
-            }
-            for task in victims {
-                tracing::info!("{task} on {machine} gives back borrowed room to {id}");
-                self.make_room(machine, task, "gives back borrowed room");
-            }
-        }
-    }
-
     /// Stops a task that makes room, with the time it needs to save.
     pub(super) fn stop(&mut self, machine: MachineId, task: TaskId, why: &str) {
         self.chronicle.note(|| What::Stopped {
@@ -659,7 +586,7 @@
                 if zone_barred(&spec, round.zones.entry(id).or_default(), zone) {
                     break;
                 }
-                if !self.put(now, round, machine, id, None) {
+                if self.put(now, round, machine, id, None).is_none() {
                     return placed;
                 }
                 placed += 1;
@@ -669,48 +596,4 @@
         }
         placed
     }
-
-    /// Stops tasks of lower urgency for those that would miss their aim.
-    ///
-    /// Those that have run least lose least; tasks that a stop already frees
-    /// room for are not paid for twice.
-    fn preempt(&mut self, now: Time, wall: WallMs, pressed: &[Pressed], shapes: &[Shape]) {
-        let Some(top) = pressed.iter().map(|p| p.urgency).max() else { return };
-        let mut lacking: f64 = pressed.iter().filter(|p| p.urgency == top).map(|p| p.cpus).sum();
-        let soonest = pressed.iter().map(|p| p.within_s).fold(f64::INFINITY, f64::min);
-        let mut victims: Vec<(f64, MachineId, TaskId, f64)> = Vec::new();
-        for (id, m) in self.machines.iter().filter(|(_, m)| self.usable(now, m)) {
-            let Some(shape) = m.shape.and_then(|s| shapes.get(s)) else { continue };
-            let fits = pressed.iter().any(|p| allows(&p.spec, shape, m));
-            for (task, e) in &m.entries {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
-                let ran = e.ran_s(now);
-                let run_s = self.run_s(job);
-                if e.kill.is_some() {
-                    lacking -= e.need.cpus;
-                } else if matches!(e.state, State::Seen(_)) && job.spec.urgency >= top {
-                    // Its room comes free by itself in time.
-                    if run_s - ran < soonest {
-                        lacking -= e.need.cpus;
-                    }
-                } else if matches!(e.state, State::Seen(_))
-                    && fits
-                    && ran < run_s * YOUNG
-                    && !self.spared(now, wall, (*task, e), top)
-                {
-                    let kept = if job.spec.checkpoint_s > 0.0 { 0.1 } else { 1.0 };
-                    victims.push((ran * kept, *id, *task, e.need.cpus));
-                }
-            }
-        }
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, machine, task, cpus) in victims {
-            if lacking <= 0.0 {
-                break;
-            }
-            lacking -= cpus;
-            tracing::info!("{task} on {machine} makes room for more urgent work");
-            self.make_room(machine, task, "makes room for more urgent work");
-        }
-    }
 }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -10,6 +10,11 @@
 /// For so long strangers are counted before they are told of, seconds.
 const STRANGERS_S: f64 = 5.0;
 
+/// Whether the task had its place: refused ones had none.
+fn began(p: &Piece) -> bool {
+    p.status != "exited" || matches!(p.cause.as_deref(), Some("done" | "error" | "stopped"))
+}
+
 fn order(verb: &'static str, task: TaskId, attempt: Attempt, wind: Option<f64>) -> Order {
     Order { verb, piece: task.to_string(), attempt: attempt.0, wind_down_s: wind }
 }
@@ -88,6 +93,9 @@
         for (task, attempt, state) in tasks {
             let here =
                 pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p);
+            if here.is_some_and(began) {
+                self.places.started(now, task, attempt);
+            }
             match here {
                 Some(p) => match p.status.as_str() {
                     "exited" => self.exited(now, id, task, p.cause.as_deref()),
@@ -363,9 +371,14 @@
                 orders.push(order("kill", *task, e.attempt, e.kill));
             }
         }
-        // What was placed into room that was there goes first, then, the more
-        // urgent first, what was placed ahead and fits by now.
+        // What was placed into room that was there goes first, then what others
+        // were stopped for, then, the more urgent first, what was placed ahead and
+        // fits by now.
         let mut free = m.free(shapes, &self.jobs);
+        // A kept place that is not committed yet is nobody else's either.
+        for e in m.entries.values().filter(|e| e.kept && e.state == State::Planned) {
+            free.sub(&e.need);
+        }
         let drained = m.drain.is_some();
         let urgency = |t: &TaskId| self.jobs.get(&t.job).map(|j| j.spec.urgency);
         let mut runs: Vec<(TaskId, &mut Entry)> = m
@@ -374,7 +387,7 @@
             .filter(|(_, e)| e.state == State::Committed && e.kill.is_none())
             .map(|(t, e)| (*t, e))
             .collect();
-        runs.sort_by_key(|(t, e)| (e.ahead.is_some(), Reverse(urgency(t)), e.attempt));
+        runs.sort_by_key(|(t, e)| (e.ahead.is_some(), !e.kept, Reverse(urgency(t)), e.attempt));
         for (task, e) in runs {
             if orders.len() >= MOST_ORDERS {
                 break;
@@ -387,11 +400,16 @@
                 || self.jobs.get(&task.job).is_some_and(|j| {
                     self.standing.freeze_of(&j.spec.team, &j.spec.class).is_some()
                 });
-            if !open || stopped || e.ahead.is_some() && !e.need.fits(&free) {
+            let waits = e.ahead.is_some() && !e.need.fits(&free);
+            if !open || stopped || waits {
+                if e.kept {
+                    free.sub(&e.need);
+                }
                 continue;
             }
             free.sub(&e.need);
             e.ahead = None;
+            e.kept = false;
             e.state = State::Sent(moment);
             orders.push(order("run", task, e.attempt, None));
         }
