Whose fault a failure is; a holder frees the lead for others and goes on until one takes it

Change: crates/suspicion weighs who else fails where: a job with a success is sound and speaks against the machine; one without any that fails on three machines is at fault, its charges are dropped, machines come back into use, and it is tried with one task at a time in growing pauses. A holder that hears few frees its lease and goes on with its token until another has taken it.

--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -638,9 +638,11 @@
         let (heard, silent) = place.hearing(now);
         if silent >= 2 && silent > heard * 2 {
             self.stepped_back = Some(now);
-            tracing::info!("most workers are silent here; stepping back");
-            let standing = self.leader.step_back(now, &mut self.ledger);
-            self.on_standing(now, standing);
+            // Nobody is known to hear more. Whoever does takes the lead at once;
+            // until somebody has, we go on: a holder that stood back for nobody
+            // left a whole fleet to its leases.
+            tracing::info!("most workers are silent here; the lead is free for others");
+            self.leader.hand_over(now, &mut self.ledger);
         }
     }
 
--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -30,7 +30,7 @@
         if !self.ageing.on() {
             return Vec::new();
         }
-        let waits = self.jobs.iter().filter(|(_, j)| self.pause(now, j).is_none());
+        let waits = self.jobs.iter().filter(|(id, j)| self.pause(now, **id, j).is_none());
         let mut risen: Vec<(u64, JobId)> = waits
             .filter_map(|(id, j)| {
                 let at = self.rises_at_ms(&j.spec)?;
--- a/crates/controller/src/placement/explain.rs
+++ b/crates/controller/src/placement/explain.rs
@@ -112,18 +112,18 @@
         reasons: &mut Vec<Reason>,
     ) {
         let Some(job) = self.jobs.get(&id) else { return };
-        match self.pause(now, job) {
+        match self.pause(now, id, job) {
             Some(Pause::Frozen(d)) => {
                 let since_s = (wall.0 as f64 - d.since_ms as f64) / 1e3;
                 let (target, by) = (d.target.to_string(), d.by.clone());
                 return reasons.push(Reason::Frozen { target, since_s, by });
             }
             Some(Pause::Failures) => {
-                return reasons.push(Reason::Failures {
-                    failures: job.errors,
-                    machines: job.error_machines.len() as u32,
-                    retry_s: job.hold_until.until(now).max(0.0),
-                })
+                let until =
+                    self.blame.paused_until(id).map_or(job.hold_until, |u| u.max(job.hold_until));
+                let (failures, machines) = self.blame.failures(id);
+                let retry_s = until.until(now).max(0.0);
+                return reasons.push(Reason::Failures { failures, machines, retry_s });
             }
             Some(Pause::Over | Pause::Nothing) | None => {}
         }
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -19,7 +19,7 @@
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
 use beamhinge_room::{Figures, Places, Stops};
-use beamhinge_suspicion::Rhythm;
+use beamhinge_suspicion::{Blame, Rhythm};
 use beamhinge_vocab::messages::Counts;
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
@@ -148,7 +148,6 @@
     ghosts: Vec<(TaskId, Attempt)>,
     images: Vec<Rc<str>>,
     pub idle_since: Time,
-    errors: u32,
     /// It refused a task for which our books saw room: until then, no more.
     refuses_until: Time,
     pub sick: bool,
@@ -211,7 +210,6 @@
             ghosts: Vec::new(),
             images: Vec::new(),
             idle_since: now,
-            errors: 0,
             refuses_until: Time::default(),
             sick: false,
             pace: (1.0, 0),
@@ -268,10 +266,8 @@
     retry: BTreeMap<u32, Time>,
     /// Tasks with an entry or a ghost somewhere, and how many.
     live: BTreeMap<u32, u32>,
-    errors: u32,
     /// Run times over the estimate: the sum of logarithms, and how many.
     ratios: (f64, u32),
-    error_machines: BTreeSet<MachineId>,
     hold_until: Time,
 }
 
@@ -392,6 +388,8 @@
     reserved: Reservations,
     /// Tasks that were stopped for others.
     made_room: Stops,
+    /// Whose fault failures are.
+    blame: Blame,
     /// Places that are kept for those they were stopped for.
     places: Places,
     /// When all that could be stopped was looked at last.
@@ -473,6 +471,7 @@
             ageing,
             reserved: Reservations::default(),
             made_room: Stops::new(STOPS_KNOWN),
+            blame: Blame::default(),
             places: Places::default(),
             room_at: Time::default(),
             machines: BTreeMap::new(),
@@ -632,7 +631,7 @@
     fn demand(&self, wall: WallMs, id: JobId, job: &Job) -> Demand {
         let left = job.spec.tasks - job.progress.count().min(job.spec.tasks);
         // A job that fails everywhere earns no machines while it waits.
-        let left = if job.errors > 3 && job.progress.count() == 0 { left.min(1) } else { left };
+        let left = if self.blame.at_fault_job(id) { left.min(1) } else { left };
         // Above its team's limit nothing of it can run.
         let limit = self.team(&job.spec).map(|t| self.teams[t].1);
         let most = match limit {
@@ -853,6 +852,7 @@
             self.closing.remove(&id);
             self.jobs.remove(&id);
             self.shelves.forget(id);
+            self.blame.forget_job(id);
             self.made_room.keep(|t| t.job != id);
         }
     }
@@ -867,9 +867,7 @@
         next_fresh: 0,
         retry: BTreeMap::new(),
         live: BTreeMap::new(),
-        errors: 0,
         ratios: (0.0, 0),
-        error_machines: BTreeSet::new(),
         hold_until: now,
     }
 }
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -250,14 +250,16 @@
     }
 
     /// Why a job gets no room this time, before any machine is looked at.
-    pub(super) fn pause(&self, now: Time, j: &Job) -> Option<Pause> {
+    pub(super) fn pause(&self, now: Time, id: JobId, j: &Job) -> Option<Pause> {
         if j.state != JobState::Open {
             return Some(Pause::Over);
         }
         if let Some(freeze) = self.standing.freeze_of(&j.spec.team, &j.spec.class) {
             return Some(Pause::Frozen(freeze.clone()));
         }
-        if j.hold_until > now {
+        // What fails everywhere is tried with one task at a time.
+        let blamed = self.blame.paused_until(id);
+        if j.hold_until > now || blamed.is_some_and(|until| until > now || j.busy() > 0) {
             return Some(Pause::Failures);
         }
         (j.waiting() == 0).then_some(Pause::Nothing)
@@ -410,6 +412,9 @@
         }
         let (job, m) = (self.jobs.get_mut(&id)?, self.machines.get_mut(&machine)?);
         let index = job.next_task(now)?;
+        if job.busy() > 0 && self.blame.at_fault_job(id) {
+            return None;
+        }
         let task = TaskId { job: id, index };
         if m.entries.contains_key(&task) {
             return None;
@@ -501,7 +506,7 @@
         let mut order = Vec::new();
         let bound = round.settings.aim("guarantee", "").unwrap_or(self.horizon_s());
         for (id, j) in &self.jobs {
-            if self.pause(now, j).is_some() {
+            if self.pause(now, *id, j).is_some() {
                 continue;
             }
             let spec = &j.spec;
@@ -557,11 +562,13 @@
         // free for tasks that fit nowhere else; then where the image is;
         // then the fuller machine, so that others can empty.
         let (machines, shapes) = (&self.machines, round.shapes);
+        let barred = self.blame.barred(now, id);
         let mut fits: Vec<(usize, (bool, bool, bool, i64))> = round
             .rooms
             .iter()
             .enumerate()
             .filter(|(_, r)| need.fits(&r.free) && !self.kept_from(now, r.id, id))
+            .filter(|(_, r)| barred.is_none_or(|on| !on.contains(r.id.number())))
             .filter_map(|(i, r)| {
                 let m = machines.get(&r.id)?;
                 let shape = shapes.get(r.shape)?;
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -1,6 +1,7 @@
 //! What workers report, what that proves, and what they are told.
 
 use super::*;
+use beamhinge_suspicion::Verdict;
 use std::cmp::Reverse;
 
 /// Orders of one answer: it may hold 64 KiB. What is left out is still wanted, and
@@ -283,43 +284,32 @@
     }
 
     fn succeeded(&mut self, id: MachineId, job: JobId) {
-        if let Some(m) = self.machines.get_mut(&id) {
-            m.errors = 0;
-        }
-        if let Some(j) = self.jobs.get_mut(&job) {
-            j.errors = 0;
-            j.error_machines.clear();
-        }
+        let verdict = self.blame.succeeded(id, job);
+        self.heed(&verdict);
     }
 
     /// Weighs a failure: is it the machine's fault or the job's? Returns how
     /// long the task waits before its next try.
     fn failed(&mut self, now: Time, id: MachineId, job: JobId) -> f64 {
-        let mut job_suspect = false;
-        let mut delay = 0.0;
-        if let Some(j) = self.jobs.get_mut(&job) {
-            j.errors += 1;
-            j.error_machines.insert(id);
-            // A job none of whose tasks ever ended well and that failed on
-            // several machines was submitted with a mistake.
-            job_suspect = j.progress.count() == 0 && j.error_machines.len() >= 3;
-            if job_suspect {
-                delay = 2f64.powi(j.errors.min(7) as i32).min(60.0);
-                j.hold_until = now.plus(delay.min(30.0));
-            }
-        }
-        if let Some(m) = self.machines.get_mut(&id) {
-            if !job_suspect {
-                m.errors += 1;
-                if m.errors >= 2 && !m.sick {
-                    tracing::info!("{id} failed {} tasks in a row and is set aside", m.errors);
-                    m.sick = true;
-                    let why = format!("failed {} tasks in a row", m.errors);
-                    self.chronicle.note(|| What::SetAside { machine: id.to_string(), why });
-                }
-            }
+        let verdict = self.blame.failed(now, id, job, self.report_s);
+        self.heed(&verdict);
+        verdict.pause_s.unwrap_or(0.0)
+    }
+
+    /// Machines at fault get nothing more; those a job was blamed for in the end do.
+    fn heed(&mut self, verdict: &Verdict) {
+        for id in &verdict.faulty {
+            let Some(m) = self.machines.get_mut(id) else { continue };
+            tracing::info!("{id} fails tasks that end well elsewhere and is set aside");
+            m.sick = true;
+            let why = "fails tasks that end well elsewhere".to_string();
+            self.chronicle.note(|| What::SetAside { machine: id.to_string(), why });
+        }
+        for id in &verdict.cleared {
+            let Some(m) = self.machines.get_mut(id) else { continue };
+            tracing::info!("{id} is in use again: a job was at fault");
+            m.sick = false;
         }
-        delay
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -469,6 +459,7 @@
             m.synced = false;
             m.heard = None;
             if m.entries.is_empty() {
+                self.blame.forget_machine(id);
                 self.machines.remove(&id);
             }
         }
@@ -522,6 +513,7 @@
         }
         for (id, forget) in over {
             if forget {
+                self.blame.forget_machine(id);
                 self.machines.remove(&id);
                 continue;
             }
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -109,7 +109,8 @@
         }
         let Some(job) = self.jobs.get(&claim.job).filter(|j| j.waiting() > 0) else { return };
         let (spec, need, mut wanted) = (job.spec.clone(), job.need(), job.waiting());
-        if spec.one_zone || spec.spread || self.places.room() == 0 || round.budget == 0 {
+        let limited = spec.one_zone || spec.spread || self.blame.at_fault_job(claim.job);
+        if limited || self.places.room() == 0 || round.budget == 0 {
             return;
         }
         let mut making = match round.making.take() {
@@ -170,11 +171,13 @@
         let need = need_of(&spec);
         let (want, shapes) = (need.sizes(), round.shapes);
         let above = claim.why == Why::Guarantee || spec.urgency > self.ageing.ceiling();
+        let barred = self.blame.barred(now, claim.job);
         let here = |id: MachineId| {
             let Some(m) = self.machines.get(&id) else { return false };
             let shape = m.shape.and_then(|s| shapes.get(s));
             shape.is_some_and(|s| need.fits(&s.room()) && allows(&spec, s, m))
                 && !self.kept_from(now, id, claim.job)
+                && barred.is_none_or(|on| !on.contains(id.number()))
         };
         let MakingRoom { sites, victims, over, keep, .. } = making;
         // Ends that come in time are waited for; a guarantee's time is too short.
--- /dev/null
+++ b/crates/suspicion/src/blame.rs
@@ -0,0 +1,292 @@
+//! Whose fault a failure is: the machine's, or the job's.
+//!
+//! A faulty machine fails every task; a job that was submitted with a mistake
+//! fails on every machine. One failure does not tell which. What tells is who
+//! else fails there: a job that has had a success is no mistake, so its failures
+//! speak against the machine, and failures of one job on several machines against
+//! the job. Charges that a job brought against machines are dropped once it is
+//! found at fault.
+
+use beamhinge_vocab::types::{JobId, MachineId, Time};
+use roaring::RoaringTreemap;
+use std::collections::BTreeMap;
+
+/// Failures of jobs known to be sound after which a machine is at fault.
+const SOUND: u32 = 2;
+/// Different jobs of which nothing is known, for the same.
+const UNKNOWN: usize = 3;
+/// Machines on which a job without any success fails before it is at fault.
+const MACHINES: u64 = 3;
+/// Failures of a job without any success after which it is, on however few.
+const FAILURES: u32 = 12;
+/// How long it does not return to where it failed, seconds.
+const BARRED_S: f64 = 20.0;
+/// Jobs that one machine remembers failures of, and jobs and machines that are
+/// remembered at all; guards memory.
+const MOST_OF_ONE: usize = 16;
+const MOST: usize = 8_192;
+/// Longest pause between two tries of a job at fault, seconds.
+const LONGEST_S: f64 = 60.0;
+
+#[derive(Debug, Default)]
+struct Case {
+    /// A task of it ended well.
+    sound: bool,
+    failures: u32,
+    failed_on: RoaringTreemap,
+    fault: bool,
+    /// When it failed last.
+    last: Time,
+    /// Not to be tried before.
+    until: Time,
+}
+
+/// What a failure came to.
+#[derive(Debug, Default, PartialEq)]
+pub struct Verdict {
+    /// Machines that are at fault now and were not before.
+    pub faulty: Vec<MachineId>,
+    /// Machines that are not at fault any more: a job was.
+    pub cleared: Vec<MachineId>,
+    /// The job is at fault; its tasks wait for so long, seconds.
+    pub pause_s: Option<f64>,
+}
+
+/// Failures since the last success, on machines and of jobs.
+#[derive(Debug, Default)]
+pub struct Blame {
+    jobs: BTreeMap<JobId, Case>,
+    /// Jobs that failed on a machine since something ended well there, how often,
+    /// and whether it is at fault.
+    machines: BTreeMap<MachineId, (BTreeMap<JobId, u32>, bool)>,
+}
+
+impl Blame {
+    fn at_fault(&self, charges: &BTreeMap<JobId, u32>) -> bool {
+        let (mut sound, mut unknown) = (0, 0);
+        for (job, n) in charges {
+            match self.jobs.get(job) {
+                Some(case) if case.fault => {}
+                Some(case) if case.sound => sound += n,
+                _ => unknown += 1,
+            }
+        }
+        sound >= SOUND || unknown >= UNKNOWN || sound > 0 && unknown > 1
+    }
+
+    /// Judges these machines anew.
+    fn judge(&mut self, machines: &[MachineId], verdict: &mut Verdict) {
+        for id in machines {
+            let Some((charges, was)) = self.machines.get(id) else { continue };
+            let (is, was) = (self.at_fault(charges), *was);
+            if is == was {
+                continue;
+            }
+            if let Some((_, fault)) = self.machines.get_mut(id) {
+                *fault = is;
+            }
+            if is { &mut verdict.faulty } else { &mut verdict.cleared }.push(*id);
+        }
+    }
+
+    /// Machines that have a charge of this job.
+    fn charged(&self, job: JobId) -> Vec<MachineId> {
+        let charged = |id: &&MachineId| {
+            self.machines.get(id).is_some_and(|(charges, _)| charges.contains_key(&job))
+        };
+        self.machines.keys().filter(charged).copied().collect()
+    }
+
+    /// A task of the job failed on the machine.
+    pub fn failed(&mut self, now: Time, machine: MachineId, job: JobId, report_s: f64) -> Verdict {
+        let mut verdict = Verdict::default();
+        if self.jobs.len() >= MOST && !self.jobs.contains_key(&job) {
+            return verdict;
+        }
+        let case = self.jobs.entry(job).or_default();
+        case.failures = case.failures.saturating_add(1);
+        case.failed_on.insert(machine.number());
+        case.last = now;
+        let was = case.fault;
+        // Where there are few machines, many failures tell as much.
+        let everywhere = case.failed_on.len() >= MACHINES || case.failures >= FAILURES;
+        case.fault = !case.sound && everywhere;
+        if case.fault {
+            // Tasks that were on their way with it end in the same pause.
+            if now >= case.until {
+                let tries = case.failures.min(10) as i32;
+                let pause_s = (report_s * 2f64.powi(tries)).min(LONGEST_S);
+                case.until = now.plus(pause_s);
+            }
+            verdict.pause_s = Some(case.until.until(now));
+        }
+        let turned = case.fault && !was;
+        if self.machines.len() < MOST || self.machines.contains_key(&machine) {
+            let (charges, _) = self.machines.entry(machine).or_default();
+            if charges.len() < MOST_OF_ONE || charges.contains_key(&job) {
+                let n = charges.entry(job).or_insert(0);
+                *n = n.saturating_add(1);
+            }
+        }
+        let concerned = if turned { self.charged(job) } else { vec![machine] };
+        self.judge(&concerned, &mut verdict);
+        verdict
+    }
+
+    /// A task of the job ended well on the machine: neither is at fault, and where
+    /// the job failed before, the machine was.
+    pub fn succeeded(&mut self, machine: MachineId, job: JobId) -> Verdict {
+        let mut verdict = Verdict::default();
+        // A machine that was found at fault stays so: some fail now and then.
+        if let Some((charges, _)) = self.machines.get_mut(&machine).filter(|(_, fault)| !fault) {
+            charges.clear();
+            self.machines.remove(&machine);
+        }
+        if let Some(case) = self.jobs.get_mut(&job).filter(|case| !case.sound) {
+            case.sound = true;
+            case.fault = false;
+            let concerned = self.charged(job);
+            self.judge(&concerned, &mut verdict);
+        }
+        verdict
+    }
+
+    /// Whether a job is at fault: one task of it at a time is tried.
+    pub fn at_fault_job(&self, job: JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|case| case.fault)
+    }
+
+    /// Until when a job at fault is not tried.
+    pub fn paused_until(&self, job: JobId) -> Option<Time> {
+        self.jobs.get(&job).filter(|case| case.fault).map(|case| case.until)
+    }
+
+    /// Failures of a job, and on how many machines.
+    pub fn failures(&self, job: JobId) -> (u32, u32) {
+        self.jobs.get(&job).map_or((0, 0), |c| (c.failures, c.failed_on.len() as u32))
+    }
+
+    /// Machines on which a job without any success failed just now, by number:
+    /// elsewhere it tells more, and a machine that fails all at once always has
+    /// room. For a while only, since there may be no other.
+    pub fn barred(&self, now: Time, job: JobId) -> Option<&RoaringTreemap> {
+        let case = self.jobs.get(&job).filter(|c| !c.sound && now.since(c.last) < BARRED_S)?;
+        Some(&case.failed_on)
+    }
+
+    /// The job is over. What it was found to be has been counted.
+    pub fn forget_job(&mut self, job: JobId) {
+        if self.jobs.remove(&job).is_some_and(|case| case.fault) {
+            for (charges, _) in self.machines.values_mut() {
+                charges.remove(&job);
+            }
+        }
+    }
+
+    pub fn forget_machine(&mut self, machine: MachineId) {
+        self.machines.remove(&machine);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn job(n: u32) -> JobId {
+        JobId::parse(&format!("job-{n}")).expect("an id")
+    }
+
+    fn machine(n: u32) -> MachineId {
+        MachineId::parse(&format!("n-{n:06}")).expect("a name")
+    }
+
+    fn at(s: f64) -> Time {
+        Time::default().plus(100.0 + s)
+    }
+
+    /// What an operations day showed: nine healthy machines were given back for
+    /// jobs that were submitted with a mistake.
+    #[test]
+    fn a_job_with_a_mistake_condemns_no_machine() {
+        let mut b = Blame::default();
+        for m in 0..3 {
+            // Four tasks on each machine, all at once.
+            for _ in 0..4 {
+                let v = b.failed(at(0.0), machine(m), job(1), 1.0);
+                assert!(v.faulty.is_empty(), "{v:?}");
+                assert_eq!(v.pause_s.is_some(), m >= 2);
+            }
+        }
+        assert!(b.at_fault_job(job(1)));
+        let barred = |s: f64| b.barred(at(s), job(1)).is_some_and(|on| on.contains(0));
+        assert!(barred(1.0) && !barred(30.0));
+        // Two more of the kind on the same machines.
+        for j in 2..4 {
+            for m in 0..3 {
+                assert!(b.failed(at(1.0), machine(m), job(j), 1.0).faulty.is_empty());
+            }
+        }
+        // Cancelled, they leave no charge behind.
+        (1..4).for_each(|j| b.forget_job(job(j)));
+        assert!(b.failed(at(2.0), machine(0), job(9), 1.0).faulty.is_empty());
+    }
+
+    #[test]
+    fn pauses_grow_and_are_counted_once_for_tasks_that_end_together() {
+        let mut b = Blame::default();
+        let mut last = 0.0;
+        let mut now = 0.0;
+        for n in 0..12 {
+            let v = b.failed(at(now), machine(n), job(1), 1.0);
+            let Some(pause_s) = v.pause_s else { continue };
+            assert!(pause_s >= last && pause_s <= LONGEST_S);
+            let again = b.failed(at(now), machine(n), job(1), 1.0).pause_s;
+            assert_eq!(again, Some(pause_s));
+            (last, now) = (pause_s, now + pause_s);
+        }
+        assert_eq!(last, LONGEST_S);
+    }
+
+    #[test]
+    fn a_machine_that_fails_what_runs_elsewhere_is_at_fault() {
+        let mut b = Blame::default();
+        b.succeeded(machine(1), job(1));
+        assert!(b.failed(at(0.0), machine(2), job(1), 1.0).faulty.is_empty());
+        b.succeeded(machine(1), job(1));
+        assert!(b.failed(at(0.0), machine(2), job(1), 1.0).faulty == [machine(2)]);
+        // A charge is weighed again once more is known of its job.
+        assert!(b.failed(at(1.0), machine(3), job(2), 1.0).faulty.is_empty());
+        assert!(b.failed(at(1.0), machine(3), job(2), 1.0).faulty.is_empty());
+        assert_eq!(b.succeeded(machine(1), job(2)).faulty, [machine(3)]);
+        // Three jobs of which nothing is known.
+        for j in 10..13 {
+            let v = b.failed(at(2.0), machine(4), job(j), 1.0);
+            assert_eq!(v.faulty.is_empty(), j < 12);
+        }
+    }
+
+    #[test]
+    fn charges_are_dropped_when_the_job_was_at_fault() {
+        let mut b = Blame::default();
+        for j in 1..4 {
+            b.failed(at(0.0), machine(1), job(j), 1.0);
+        }
+        b.failed(at(0.0), machine(2), job(1), 1.0);
+        let v = b.failed(at(0.0), machine(3), job(1), 1.0);
+        assert_eq!((v.cleared, v.pause_s.is_some()), (vec![machine(1)], true));
+        // Something ends well there: nothing is left.
+        b.succeeded(machine(1), job(7));
+        assert!(b.failed(at(1.0), machine(1), job(8), 1.0).faulty.is_empty());
+    }
+
+    #[test]
+    fn memory_is_bounded() {
+        let mut b = Blame::default();
+        for n in 0..(MOST as u32 + 50) {
+            b.failed(at(0.0), machine(n), job(n), 1.0);
+            b.failed(at(0.0), machine(0), job(n), 1.0);
+        }
+        assert!(b.jobs.len() <= MOST && b.machines.len() <= MOST);
+        assert!(b.machines[&machine(0)].0.len() <= MOST_OF_ONE);
+    }
+}
--- a/crates/suspicion/src/lib.rs
+++ b/crates/suspicion/src/lib.rs
@@ -1,4 +1,4 @@
-//! What silence means.
+//! What silence means, and failures.
 //!
 //! A controller that does not hear a machine knows little: the machine may be
 //! dead, its link may be, or the controller's own. This package weighs that for
@@ -9,12 +9,14 @@
 //! Sans-IO: times come in, findings go out. `docs/suspicion.md` has the ways
 //! that were weighed.
 
+mod blame;
 mod groups;
 mod hearsay;
 mod presence;
 mod rhythm;
 mod stall;
 
+pub use blame::{Blame, Verdict};
 pub use groups::{Bounds, Finding, Group, Link, Look, Seen, Suspicion};
 pub use hearsay::{Hearsay, Visitors};
 pub use presence::Presence;
