--- a/crates/controller/src/market.rs
+++ b/crates/controller/src/market.rs
@@ -9,7 +9,7 @@
 
 use crate::calls::{FleetCall, Tag};
 use crate::ledger::{Committed, Ledger, Outcome, Priority, Reply, Scan};
-use crate::split::{self, Demand, Learner, Market, Past, Shape};
+use crate::split::{self, Demand, Learner, Market, Need, Past, Shape};
 use beamhinge_operators::reasons::Reason;
 use beamhinge_vocab::settings::{Operator, Settings};
 use beamhinge_vocab::types::{JobId, Stamp, Time, Token};
@@ -42,6 +42,42 @@
     splits: BTreeMap<String, (usize, f64)>,
     /// class -> run time over estimate
     runs: BTreeMap<String, f64>,
+    /// class -> the load for which room is held ready
+    #[serde(default)]
+    loads: BTreeMap<String, Load>,
+}
+
+/// What a new leader needs to go on holding room ready: without it the room was
+/// given back after each takeover, and rented again with the next jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Load {
+    /// The widest of late, tasks; seconds between jobs.
+    widest: f64,
+    gap_s: f64,
+    /// Of one task of the latest job: CPUs, GPUs, gigabytes.
+    size: (f64, f64, f64),
+    spot: bool,
+}
+
+impl Load {
+    fn of(arrivals: &mut Arrivals, typical: &Demand, now: Time) -> Option<Load> {
+        let need = &typical.need;
+        // What is bound to types or a zone comes with its next job.
+        let bound = typical.shapes.is_some() || typical.zone.is_some();
+        (!bound && !arrivals.dry(now)).then(|| Load {
+            widest: arrivals.widest(now).ceil(),
+            gap_s: (arrivals.gap_s * 100.0).round() / 100.0,
+            size: (need.cpus, need.gpus, need.memory_gb),
+            spot: typical.spot,
+        })
+    }
+
+    /// Whether a stored value can be meant; what cannot is left out.
+    fn sound(&self) -> bool {
+        let (cpus, gpus, gb) = self.size;
+        let all = [self.widest, self.gap_s, cpus, gpus, gb];
+        all.iter().all(|x| x.is_finite() && *x >= 0.0 && *x < 1e7) && cpus > 0.0
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -109,6 +145,13 @@
         }
     }
 
+    /// As an earlier leader saw it; its last arrival counts as one just now.
+    fn resume(&mut self, now: Time, load: &Load) {
+        self.gap_s = load.gap_s;
+        self.last = self.last.max(Some(now));
+        self.loads.push_back((now, load.widest));
+    }
+
     /// The widest load of late. Counted by what arrived, not by what is open:
     /// a queue that has built up says nothing of what comes next.
     fn widest(&mut self, now: Time) -> f64 {
@@ -492,6 +535,14 @@
         let mut most = limit.saturating_sub(1_024) / 40;
         let mut classes = 16;
         let round = |w: f64| (w * 1e6).round() / 1e6;
+        let typical = &self.typical;
+        let loads: Vec<(String, Load)> = self
+            .waiting
+            .iter_mut()
+            .filter_map(|(class, a)| {
+                Some((class.to_string(), Load::of(a, typical.get(class)?, now)?))
+            })
+            .collect();
         // Tiny values and long names of classes: less is kept, never nothing.
         loop {
             let alive = self.jobs.iter().filter(|(_, h)| h.alive).take(most);
@@ -500,6 +551,7 @@
                 weights: self.learner.weights().into_iter().map(round).collect(),
                 splits: alive.map(|(id, h)| (id.to_string(), (h.pair, h.owned))).collect(),
                 runs: runs.iter().take(classes).map(|(c, f)| (c.clone(), round(*f))).collect(),
+                loads: loads.iter().take(classes).cloned().collect(),
             };
             let mut txn = ledger.txn();
             let built = txn
@@ -539,6 +591,9 @@
                     }
                 }
                 self.runs.get_or_insert(r.runs);
+                for (class, load) in r.loads.iter().filter(|(_, l)| l.sound()) {
+                    self.resume(now, class.as_str().into(), load);
+                }
             }
             _ => {
                 tracing::error!("{KEY} has an unknown form or version; splits are not stored");
@@ -548,6 +603,29 @@
         }
     }
 
+    /// Takes up what an earlier leader knew of a class that may not wait.
+    fn resume(&mut self, now: Time, class: Rc<str>, load: &Load) {
+        self.waiting.entry(class.clone()).or_default().resume(now, load);
+        let (cpus, gpus, memory_gb) = load.size;
+        let Some(job) = JobId::parse("job-0") else { return };
+        self.typical.entry(class.clone()).or_insert(Demand {
+            job,
+            class,
+            need: Need { cpus, gpus, memory_gb },
+            left: 0,
+            placed: 0,
+            run_s: 0.0,
+            age_s: 0.0,
+            due_s: None,
+            image_gb: 0.0,
+            urgency: 0,
+            deadline_array: true,
+            spot: load.spot,
+            shapes: None,
+            zone: None,
+        });
+    }
+
     pub fn on_written(&mut self, now: Time, reply: Reply<Tag>) {
         self.flying = false;
         match reply.outcome {
@@ -599,6 +677,62 @@
         assert_eq!(shortfall(&Pool::new(), &mut [queued(2, Some(45.0))]), 8.0);
     }
 
+    /// Ninety machines were given back after a takeover and rented again ten
+    /// seconds later: the new leader knew nothing of the load before it.
+    #[test]
+    fn a_new_leader_holds_the_room_that_was_held() {
+        let at = |s: f64| Time::from_micros(100_000_000).plus(s);
+        let mut a = Arrivals::default();
+        for i in 0..30 {
+            a.came(at(f64::from(i) * 2.0), 10.0, 20.0);
+            a.widest(at(f64::from(i) * 2.0));
+        }
+        let d = Demand {
+            job: JobId::parse("job-7").expect("an id"),
+            class: "prompt".into(),
+            need: Need { cpus: 2.0, gpus: 0.0, memory_gb: 4.0 },
+            left: 10,
+            placed: 0,
+            run_s: 20.0,
+            age_s: 0.0,
+            due_s: None,
+            image_gb: 1.0,
+            urgency: 2,
+            deadline_array: true,
+            spot: true,
+            shapes: None,
+            zone: None,
+        };
+        let load = Load::of(&mut a, &d, at(60.0)).expect("it is not dry");
+        let stored: Load = wire::from_value(&wire::to_value(&load)).expect("what was written");
+        assert!(stored == load && stored.sound());
+        let operator = Operator::default();
+        let mut next = Splits::new(&operator, Token(9), at(60.0));
+        next.resume(at(60.0), "prompt".into(), &stored);
+        let shape = Shape {
+            label: "c8".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+            cache_gb: 60.0,
+            fetch_gb_per_s: 0.4,
+            rate: 1.0,
+            low_price: 0.3,
+            boot_s: 30.0,
+            zones: vec!["north".into()],
+        };
+        let text = beamhinge_vocab::settings::SAMPLE;
+        let settings = Settings::parse("the sample", text).expect("it is sound");
+        let mut ready = |s: f64| {
+            let wants = next.wants(at(s), &[], &[shape.clone()], &settings, 0.0, &BTreeMap::new());
+            wants.get(&0).map_or(0.0, |w| w.ready)
+        };
+        assert!((ready(61.0) - 35.0).abs() < 1e-6, "1.4 times 100 tasks, four a machine");
+        assert_eq!(ready(100.0), 0.0, "nothing came any more");
+        assert!(Load::of(&mut a, &d, at(200.0)).is_none(), "a dry class is not stored");
+        assert!(!Load { widest: f64::NAN, ..load }.sound());
+    }
+
     /// A drained burst once made room for 135 machines a minute after the last
     /// job: a class that has dried up stays dry, and a queue is no load.
     #[test]
