--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -11,4 +11,6 @@
     pub unbounded: bool,
     /// A machine that is silent is dead as long as most are heard.
     pub hasty: bool,
+    /// Room is made all over the fleet, in CPUs, and kept for nobody.
+    pub scattered: bool,
 }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -417,6 +417,7 @@
                 #[cfg(feature = "faults")]
                 if let Some(place) = &mut self.place {
                     place.unbounded = self.faults.unbounded;
+                    place.scattered = self.faults.scattered;
                 }
                 self.fleet.begin_term(now, token, &self.operator, &self.settings);
                 self.elsewhere = Hearsay::default();
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -49,6 +49,8 @@
     Unbounded,
     /// Silent is dead as long as most are heard
     Hasty,
+    /// Room is made all over the fleet and kept for nobody
+    Scattered,
 }
 
 type Played = Result<Outcome, scenario::Wrong>;
@@ -59,6 +61,7 @@
     match o.broken {
         Some(Broken::Unbounded) => faults.unbounded = true,
         Some(Broken::Hasty) => faults.hasty = true,
+        Some(Broken::Scattered) => faults.scattered = true,
         None => {}
     }
     let mut plan = plan(seed, size, o)?;
@@ -83,6 +86,7 @@
     let mut troubles: BTreeMap<&str, u32> = BTreeMap::new();
     plan.iter().flat_map(|d| &d.troubles).for_each(|(k, n)| *troubles.entry(k).or_default() += n);
     let (mut violations, mut stuck, mut idle, mut failed) = (0, 0, 0, Vec::new());
+    let (mut stopped, mut in_vain, mut least) = (0, 0, (String::new(), 1.0));
     let (mut healthy, mut cut_off, mut unexplained, mut started, mut slowest) = (0, 0, 0, 0, 0.0);
     for (n, outcome, real_s) in &played {
         let day = &plan[*n];
@@ -96,12 +100,17 @@
         unexplained += outcome.tally.unexplained;
         started += outcome.started;
         slowest = f64::max(slowest, outcome.settled_s);
+        (stopped, in_vain) = (stopped + outcome.stopped, in_vain + outcome.in_vain);
+        let served = outcome.least.clone().unwrap_or_else(|| (String::new(), 1.0));
+        if served.1 < least.1 {
+            least = (format!("{}: {}", day.name, served.0), served.1);
+        }
         let bad = days::faulty(outcome);
         if bad {
             failed.push(day.name.clone());
         }
         eprintln!(
-            "{:14} {:5} machines {:7} tasks  settled {:4.0} s  cut off {:5}  healthy returned {:4}  unexplained {:4}  {:5.1} s  {}",
+            "{:14} {:5} machines {:7} tasks  settled {:4.0} s  cut off {:5}  healthy returned {:4}  unexplained {:4}  stopped {:6} in vain {:4}  least {:.2} {:12}  {:5.1} s  {}",
             day.name,
             outcome.most_machines,
             outcome.started,
@@ -109,6 +118,10 @@
             outcome.tally.cut_off,
             outcome.tally.healthy_returned,
             outcome.tally.unexplained,
+            outcome.stopped,
+            outcome.in_vain,
+            served.1,
+            served.0,
             real_s,
             if bad { outcome.wrong.join("; ") } else { "ok".into() },
         );
@@ -135,6 +148,9 @@
         "cut_off": cut_off,
         "healthy_returned": healthy,
         "unexplained_losses": unexplained,
+        "stopped_for_others": stopped,
+        "stopped_for_nobody": in_vain,
+        "least_served": [least.0, least.1],
         "longest_settle_s": slowest,
         "failed": failed,
         "real_s": began.elapsed().as_secs_f64().round(),
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -4,6 +4,7 @@
 //! what really is on the machines, not against what the controllers believe.
 
 use crate::rules::OnMachines;
+use crate::stopped::{self, Stops};
 use beamhinge_controller::faults::Faults;
 use beamhinge_controller::node::Node;
 use beamhinge_operators::messages::What as Decided;
@@ -176,6 +177,10 @@
     /// Troubles of controllers and links explain what is lost until then.
     pub explained_until: Us,
     pub tally: Tally,
+    /// What was stopped for others.
+    pub stops: Stops,
+    /// Users ask so many times as often, and until when.
+    pub storm: (f64, Us),
     /// What the operators' file holds beside the door.
     pub operator: String,
     /// Users ask for a job no more often than this, seconds.
@@ -232,6 +237,8 @@
             state_slow: (1.0, 0),
             explained_until: 0,
             tally: Tally::default(),
+            stops: Stops::default(),
+            storm: (1.0, 0),
             operator: String::new(),
             polls_s: 0.0,
             unstarted: BTreeSet::new(),
@@ -793,13 +800,31 @@
         match next {
             Some(Next::Again(after_s)) => self.retry(job, what, since, after_s),
             Some(Next::Poll(after_s)) => self.push(
-                now + (after_s.max(self.polls_s) * 1e6) as u64,
+                now + (after_s.max(self.polls_s) / self.often() * 1e6) as u64,
                 Event::UserSends { job, what: What::Poll, since: now },
             ),
             None => {}
         }
     }
 
+    /// How many times as often users ask now.
+    fn often(&self) -> f64 {
+        match self.storm {
+            (factor, until) if self.now < until => factor.max(1.0),
+            _ => 1.0,
+        }
+    }
+
+    /// What each class and each team got of the work it may have done.
+    pub fn served(&self) -> Vec<(String, f64)> {
+        let counts = |id: &str, plan: &JobPlan| {
+            let told = self.told.get(id);
+            let kept = told.is_some_and(|t| t.accepted && !t.asked_cancel);
+            kept && !plan.fails && plan.body["jobKind"] == "batch"
+        };
+        stopped::served(&self.jobs, counts, |id| self.results_of(id))
+    }
+
     /// Looks at the watches then, or before: one event at a time, or each request
     /// would add another that comes again for ever.
     pub fn watch_at(&mut self, at: Us) {
@@ -941,7 +966,13 @@
             self.tally.unexplained += expired;
         }
         self.started += std::mem::take(&mut w.started);
-        w.events.clear();
+        let events = std::mem::take(&mut w.events);
+        // What a lease ended, nobody stopped.
+        if expired == 0 {
+            let leaving = w.reclaim_at.is_some();
+            let over = |job: &str| self.told.get(job).is_some_and(|t| t.asked_cancel);
+            self.stops.saw(self.now, machine, leaving, &events, &self.jobs, over);
+        }
         if !self.unstarted.is_empty() {
             for t in w.on_machine() {
                 let job = t.piece.split('/').next().unwrap_or("");
@@ -965,11 +996,13 @@
     pub fn lose(&mut self, machine: u64) -> Option<Worker> {
         self.refresh(machine);
         self.on_machines.remove(machine, &self.jobs);
+        self.stops.lose(machine);
         self.workers.remove(&machine)
     }
 
     /// What only time breaks.
     fn look_at_the_clock(&mut self) {
+        self.stops.look(self.now);
         let cancel = (self.settings[0].params.workers.cancel_s * 1e6) as Us;
         let late = |job: &str| {
             let told = self.told.get(job).and_then(|t| t.cancelled);
--- a/crates/sim/src/days.rs
+++ b/crates/sim/src/days.rs
@@ -147,6 +147,62 @@
     }
 }
 
+impl Drawn {
+    /// A team without a guarantee, with work of some of these kinds: one huge
+    /// array, very many single tasks, idle-time work on large machines; and jobs
+    /// with a mistake, users who ask often.
+    fn guests(&mut self, room: f64, large: f64) {
+        let at = self.between(10.0, self.end * 0.5);
+        let first = self.next_job;
+        self.next_job += 10_000;
+        let rest = "urgency=best_effort team=two";
+        if self.rng.gen_bool(0.6) {
+            let tasks = (room * self.between(0.2, 0.6) / 2.0).clamp(50.0, 6_000.0);
+            let line = format!(
+                "submit job-{first} class=sweep tasks={tasks:.0} cpus=2 run=40 image=sweep {rest}"
+            );
+            self.at(at, "huge_array", &line);
+        }
+        if self.rng.gen_bool(0.6) {
+            let every = self.of(&[0.1, 0.2, 0.5]);
+            let count = ((self.end - 20.0 - at) / every).clamp(10.0, 1_500.0);
+            let line = format!(
+                "stream {} count={count:.0} every={every} tasks=1 cpus=0.25 run=30 class=pings image=pings {rest}",
+                first + 1_000
+            );
+            self.at(at, "single_tasks", &line);
+        }
+        if large >= 4.0 && self.rng.gen_bool(0.6) {
+            let tasks = (large * self.between(0.5, 1.5)).ceil();
+            let line = format!(
+                "stream {} count=2 every=5 tasks={tasks:.0} cpus=16 run=60 class=idle image=idle saves {rest}",
+                first + 5_000
+            );
+            self.at(at, "idle_time", &line);
+        }
+        if self.rng.gen_bool(0.5) {
+            let line = format!(
+                "stream {} count=12 every=8 tasks=8 cpus=2 run=12 class=prompt urgency=high due=40 broken=0.4",
+                first + 6_000
+            );
+            self.at(at, "mistakes", &line);
+        }
+        if self.rng.gen_bool(0.4) {
+            let line = format!("poll-storm factor=8 for={:.0}", self.between(20.0, 60.0));
+            self.at(at + 20.0, "poll_storm", &line);
+        }
+    }
+
+    /// One controller is down, and the holder stands still: one is left.
+    fn alone(&mut self, at: f64) {
+        self.at(at, "alone", "crash follower");
+        let (then, stands) = (self.between(2.0, 20.0), self.between(5.0, 40.0));
+        self.at(at + then, "", &format!("freeze leader {stands:.1}"));
+        let back = self.between(40.0, 90.0);
+        self.at(at + back, "", "start-all");
+    }
+}
+
 /// The day that belongs to this seed and number: always the same.
 pub fn draw(seed: u64, number: u64, size: Size) -> Day {
     let mix = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number);
@@ -213,6 +269,13 @@
         let at = if storm { center + d.between(0.0, 8.0) } else { d.between(from, to) };
         d.trouble(at);
     }
+    if d.rng.gen_bool(0.6) {
+        d.guests(room, large);
+    }
+    if d.rng.gen_bool(0.3) {
+        let at = d.between(from, to);
+        d.alone(at);
+    }
     let text = format!("{text}{}end {:.0}\n", d.lines, d.end);
     let name = format!("day-{seed}-{number}");
     Day { name, text, machines: machines as u64, troubles: d.troubles }
@@ -225,6 +288,20 @@
         || o.idle_machines > 0
         || !o.wrong.is_empty()
         || given_away(o)
+        || stopped_for_nobody(o)
+        || starved(o)
+}
+
+/// More than a fiftieth of what was stopped for others was stopped for nobody,
+/// beyond a few: a place whose task or machine meets a trouble brings no start.
+pub fn stopped_for_nobody(o: &Outcome) -> bool {
+    o.in_vain > (o.stopped / 50).max(8)
+}
+
+/// A class or team got less than half of its work done in the time in which all
+/// that fits should be.
+pub fn starved(o: &Outcome) -> bool {
+    o.least.as_ref().is_some_and(|(_, part)| *part < 0.5)
 }
 
 /// More healthy machines were given back than a fiftieth of those cut off.
@@ -388,7 +465,7 @@
                 m
             },
         );
-        assert_eq!(kinds.len(), 18, "every kind is drawn: {kinds:?}");
+        assert_eq!(kinds.len(), 24, "every kind is drawn: {kinds:?}");
     }
 
     #[test]
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod days;
 pub mod rules;
 pub mod scenario;
+pub mod stopped;
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -23,6 +23,8 @@
 pub const SETTLE_S: u64 = 300;
 /// Longest time from then until nothing is rented any more.
 pub const IDLE_S: u64 = 240;
+/// So long after the last trouble it is looked at who was served how much.
+pub const SERVED_S: u64 = 120;
 
 /// Why a scenario failed, or could not be played.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -61,6 +63,12 @@
     /// not in it.
     pub waits: Vec<Wait>,
     pub leaderless_s: f64,
+    /// Tasks stopped for others, and those in whose place nobody started.
+    pub stopped: u64,
+    pub in_vain: u64,
+    /// The class or team served least some time after the last trouble, and how
+    /// much of its work was done by then.
+    pub least: Option<(String, f64)>,
 }
 
 /// How long a job waited.
@@ -260,6 +268,10 @@
             sim.cloud.part = part;
         }
         "stream" => stream(sim, &words[1..])?,
+        "poll-storm" => {
+            let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
+            sim.storm = (number(words, "factor", 8.0)?, until);
+        }
         "state-down" => {
             let until = sim.now + seconds(arg(1)?)?;
             sim.state.outage(until);
@@ -458,6 +470,18 @@
             "healthy-returned-at-most" => outcome.tally.healthy_returned as f64,
             "unexplained-at-most" => outcome.tally.unexplained as f64,
             "settled-within" => outcome.settled_s,
+            "expired-at-most" => outcome.tally.expired as f64,
+            "stopped-at-most" => sim.stops.stopped as f64,
+            "in-vain-at-most" => sim.stops.in_vain as f64,
+            // The other way round: a part that everybody got.
+            "served-at-least" => {
+                let least = outcome.least.as_ref().map_or(0.0, |(_, part)| *part);
+                if least >= most {
+                    0.0
+                } else {
+                    most + 1.0
+                }
+            }
             _ => continue,
         };
         if figure > most {
@@ -466,6 +490,7 @@
     }
     (outcome.started, outcome.most_machines) = (sim.started, sim.cloud.most);
     outcome.leaderless_s = sim.leaderless as f64 / 1e6;
+    (outcome.stopped, outcome.in_vain) = (sim.stops.stopped, sim.stops.in_vain);
     outcome.waits =
         sim.first_starts.iter().filter_map(|(job, at)| waited(&sim, job, *at)).collect();
     Ok(outcome)
@@ -481,6 +506,12 @@
     while sim.now < began + within_s * SECOND && !sim.unfinished().is_empty() {
         sim.run_until(sim.now + 2 * SECOND);
         while sim.due_script().is_some() {}
+        if outcome.least.is_none() && sim.now >= began + SERVED_S * SECOND {
+            outcome.least = sim.served().into_iter().next();
+        }
+    }
+    if outcome.least.is_none() {
+        outcome.least = sim.served().into_iter().next();
     }
     outcome.settled_s = (sim.now - began) as f64 / 1e6;
     outcome.stuck = sim.unfinished().into_iter().map(String::from).collect();
@@ -521,12 +552,20 @@
     let count = number(words, "count", 10.0)? as u64;
     let every = number(words, "every", 1.0)?;
     let (tasks, run) = (number(words, "tasks", 4.0)?, number(words, "run", 10.0)?);
+    let broken = number(words, "broken", 0.0)?;
     for i in 0..count {
         let width = (tasks * sim.rng.gen_range(0.5..1.5)).round().max(1.0);
         let run_s = run * sim.rng.gen_range(0.6..1.4);
         let body = plan_body(&format!("job-{}", first + i), words, width as u64, run_s)?;
         let at = sim.now + (every * i as f64 * 1e6) as Us;
-        plan_job(sim, body, run_s, false, at);
+        // A job with a mistake; its user sees that after a while, and cancels it.
+        let broken = broken > 0.0 && sim.rng.gen_bool(broken.min(1.0));
+        plan_job(sim, body, run_s, broken, at);
+        if broken {
+            let seen = at + sim.rng.gen_range(40..100) * SECOND;
+            let job = format!("job-{}", first + i);
+            sim.push(seen, Event::UserSends { job, what: What::Cancel, since: seen });
+        }
     }
     Ok(())
 }
@@ -582,7 +621,20 @@
             // Changes of the state service: work counted, not time.
             "writes-at-most" => sim.state.writes <= arg(1).parse().unwrap_or(0),
             "progress-keys" => sim.state.keys_under("d/") == arg(1).parse::<usize>().unwrap_or(0),
-            "healthy-returned-at-most" | "unexplained-at-most" | "settled-within" => true,
+            "stopped-at-least" => sim.stops.stopped >= arg(1).parse().unwrap_or(u64::MAX),
+            "waits-at-most" => {
+                // waits-at-most JOB SECONDS: until its first task started
+                let started = sim.first_starts.iter().find(|(job, _)| job == arg(1));
+                let waited = started.and_then(|(job, at)| waited(sim, job, *at));
+                waited.is_some_and(|w| w.wait_s <= arg(2).parse().unwrap_or(0.0))
+            }
+            "healthy-returned-at-most"
+            | "unexplained-at-most"
+            | "settled-within"
+            | "expired-at-most"
+            | "stopped-at-most"
+            | "in-vain-at-most"
+            | "served-at-least" => true,
             other => {
                 wrong.push(format!("unknown expectation '{other}'"));
                 true
--- /dev/null
+++ b/crates/sim/src/stopped.rs
@@ -0,0 +1,180 @@
+//! What was stopped for others, and whether anybody started in its place; what
+//! each class and team was served. Judged by what really happened on machines.
+
+use beamhinge_standins::worker::{Event, Happened};
+use beamhinge_standins::{JobPlan, Us, SECOND};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A start later than this is not in the stopped task's place.
+const IN_PLACE: Us = 30 * SECOND;
+
+/// A task that was stopped by command though nobody cancelled it.
+struct Stop {
+    at: Us,
+    cpus: f64,
+    urgency: u8,
+    team: String,
+}
+
+/// Stops whose outcome is open, by machine.
+#[derive(Default)]
+pub struct Stops {
+    open: BTreeMap<u64, VecDeque<Stop>>,
+    /// Tasks stopped for others.
+    pub stopped: u64,
+    /// Of these, those in whose place nobody started who may have room made.
+    pub in_vain: u64,
+}
+
+pub fn job_of(piece: &str) -> &str {
+    piece.split('/').next().unwrap_or("")
+}
+
+fn text<'a>(plan: &'a JobPlan, field: &str) -> &'a str {
+    plan.body[field].as_str().unwrap_or("")
+}
+
+fn urgency(plan: &JobPlan) -> u8 {
+    ["best_effort", "standard", "high", "critical"]
+        .iter()
+        .position(|u| *u == text(plan, "urgency"))
+        .unwrap_or(1) as u8
+}
+
+impl Stops {
+    /// What happened on a machine, in order. `leaving`: it goes anyway, so what is
+    /// stopped there is stopped for nobody; `over`: its user cancelled the job.
+    pub fn saw(
+        &mut self,
+        now: Us,
+        machine: u64,
+        leaving: bool,
+        events: &[Event],
+        jobs: &BTreeMap<String, JobPlan>,
+        over: impl Fn(&str) -> bool,
+    ) {
+        for e in events {
+            let job = job_of(&e.piece);
+            let Some(plan) = jobs.get(job) else { continue };
+            let cpus = plan.body["vcpus"].as_f64().unwrap_or(0.0);
+            match e.what {
+                Happened::Stopped if !leaving && !over(job) => {
+                    self.stopped += 1;
+                    let team = text(plan, "owner").to_string();
+                    let stop = Stop { at: now, cpus, urgency: urgency(plan), team };
+                    self.open.entry(machine).or_default().push_back(stop);
+                }
+                Happened::Began => {
+                    let Some(open) = self.open.get_mut(&machine) else { continue };
+                    // Several may have made room for one, and one for several: a
+                    // start in place of a larger one settles it.
+                    let mut room = cpus;
+                    let (mine, team) = (urgency(plan), text(plan, "owner"));
+                    open.retain(|s| {
+                        let may = s.urgency < mine || s.team != team;
+                        let settles = may && room > 0.0;
+                        if settles {
+                            room -= s.cpus;
+                        }
+                        !settles
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Stops in whose place nobody started in time.
+    pub fn look(&mut self, now: Us) {
+        for open in self.open.values_mut() {
+            while open.front().is_some_and(|s| now > s.at + IN_PLACE) {
+                open.pop_front();
+                self.in_vain += 1;
+            }
+        }
+        self.open.retain(|_, open| !open.is_empty());
+    }
+
+    /// The machine is gone: nobody can start there.
+    pub fn lose(&mut self, machine: u64) {
+        self.open.remove(&machine);
+    }
+}
+
+/// Part of the tasks that are done, of each class and each team, the least first.
+pub fn served(
+    jobs: &BTreeMap<String, JobPlan>,
+    counts: impl Fn(&str, &JobPlan) -> bool,
+    done: impl Fn(&str) -> u64,
+) -> Vec<(String, f64)> {
+    let mut parts: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+    for (id, plan) in jobs.iter().filter(|(id, p)| counts(id, p)) {
+        let tasks = plan.body["pieces"].as_u64().unwrap_or(0);
+        for name in
+            [format!("class {}", text(plan, "jobClass")), format!("team {}", text(plan, "owner"))]
+        {
+            let part = parts.entry(name).or_default();
+            part.0 += tasks;
+            part.1 += done(id).min(tasks);
+        }
+    }
+    let all = parts.into_iter().filter(|(_, (tasks, _))| *tasks > 0);
+    let mut out: Vec<(String, f64)> =
+        all.map(|(name, (tasks, done))| (name, done as f64 / tasks as f64)).collect();
+    out.sort_by(|a, b| a.1.total_cmp(&b.1));
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn plans() -> BTreeMap<String, JobPlan> {
+        let plan = |cpus: f64, urgency: &str, team: &str| JobPlan {
+            body: json!({"owner": team, "vcpus": cpus, "pieces": 4, "urgency": urgency, "jobClass": urgency}),
+            run_s: 1.0,
+            fails: false,
+            command: None,
+            sent: 0,
+        };
+        [
+            ("job-1", plan(2.0, "best_effort", "one")),
+            ("job-2", plan(12.0, "high", "one")),
+            ("job-3", plan(2.0, "best_effort", "two")),
+        ]
+        .map(|(id, p)| (id.to_string(), p))
+        .into()
+    }
+
+    fn event(piece: &str, what: Happened) -> Event {
+        Event { piece: piece.into(), attempt: 1, what }
+    }
+
+    #[test]
+    fn a_stop_counts_by_who_starts_in_its_place() {
+        let (plans, mut s) = (plans(), Stops::default());
+        let six: Vec<Event> =
+            (0..6).map(|i| event(&format!("job-1/{i}"), Happened::Stopped)).collect();
+        s.saw(0, 1, false, &six, &plans, |_| false);
+        s.saw(0, 2, false, &six, &plans, |_| false);
+        // One of twelve CPUs settles six of two; the same work again settles none.
+        s.saw(SECOND, 1, false, &[event("job-2/0", Happened::Began)], &plans, |_| false);
+        s.saw(SECOND, 2, false, &[event("job-1/7", Happened::Began)], &plans, |_| false);
+        s.saw(SECOND, 2, false, &[event("job-3/0", Happened::Began)], &plans, |_| false);
+        s.look(40 * SECOND);
+        assert_eq!((s.stopped, s.in_vain), (12, 5), "another team's start settled one");
+        // Cancelled, or on a machine that goes: for nobody's sake.
+        s.saw(0, 3, true, &six, &plans, |_| false);
+        s.saw(0, 4, false, &six, &plans, |_| true);
+        assert_eq!(s.stopped, 12);
+    }
+
+    #[test]
+    fn the_least_served_comes_first() {
+        let done = |id: &str| if id == "job-3" { 1 } else { 4 };
+        let parts = served(&plans(), |_, _| true, done);
+        assert_eq!(parts.first().map(|(n, p)| (n.as_str(), *p)), Some(("team two", 0.25)));
+        assert_eq!(parts.last().map(|(_, p)| *p), Some(1.0));
+    }
+}
