--- a/crates/sim/src/days.rs
+++ b/crates/sim/src/days.rs
@@ -198,8 +198,9 @@
         self.at(at, "alone", "crash follower");
         let (then, stands) = (self.between(2.0, 20.0), self.between(5.0, 40.0));
         self.at(at + then, "", &format!("freeze leader {stands:.1}"));
-        let back = self.between(40.0, 90.0);
-        self.at(at + back, "", "start-all");
+        // Before the day's end: a line that is due later would never be played.
+        let back = (at + self.between(40.0, 90.0)).min(self.end - 1.0);
+        self.at(back, "", "start-all");
     }
 }
 
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -524,6 +524,8 @@
     let until = sim.now + IDLE_S * SECOND;
     while sim.now < until && sim.rented_machines() > 0 && !sim.services_run() {
         sim.run_until(sim.now + 2 * SECOND);
+        // A line that is due only now stopped the clock for ever.
+        while sim.due_script().is_some() {}
     }
     if !sim.services_run() {
         outcome.idle_machines = sim.rented_machines();
