--- a/crates/controller/src/market.rs
+++ b/crates/controller/src/market.rs
@@ -724,7 +724,14 @@
         let text = beamhinge_vocab::settings::SAMPLE;
         let settings = Settings::parse("the sample", text).expect("it is sound");
         let mut ready = |s: f64| {
-            let wants = next.wants(at(s), &[], &[shape.clone()], &settings, 0.0, &BTreeMap::new());
+            let wants = next.wants(
+                at(s),
+                &[],
+                std::slice::from_ref(&shape),
+                &settings,
+                0.0,
+                &BTreeMap::new(),
+            );
             wants.get(&0).map_or(0.0, |w| w.ready)
         };
         assert!((ready(61.0) - 35.0).abs() < 1e-6, "1.4 times 100 tasks, four a machine");
--- a/crates/controller/src/node/operators.rs
+++ b/crates/controller/src/node/operators.rs
@@ -513,7 +513,23 @@
                 ("cpus", t.cpus),
                 ("cpus_used", t.cpus_used),
             ]);
+            let (kept, window) = place.places();
+            let room = place.room_made();
+            gauges.extend([
+                ("places_kept", kept as f64),
+                ("places_window", window as f64),
+                ("room_start_seconds_p50", room.took_s(0.5)),
+                ("room_start_seconds_p99", room.took_s(0.99)),
+                ("room_lost_cpu_seconds", room.lost_cpu_s),
+            ]);
             counters = place.chronicle.counts().collect();
+            counters.extend([
+                ("stopped_for_others", room.stops),
+                ("places_asked", room.asked),
+                ("places_started", room.started),
+                ("places_lapsed", room.lapsed),
+                ("stopped_for_nobody", room.in_vain),
+            ]);
         }
         self.metrics.render(&gauges, counters.into_iter())
     }
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -773,7 +773,9 @@
         // Those who wait for its end wait no longer; its own place, if it never
         // began there, came to nothing.
         self.places.ended(machine, task);
-        self.places.lapsed(now, task, e.attempt);
+        if self.places.lapsed(now, task, e.attempt) {
+            tracing::info!("{task} gives up its place on {machine}, for which others were stopped");
+        }
         if m.entries.is_empty() {
             m.idle_since = now;
         }
--- a/crates/room/src/places.rs
+++ b/crates/room/src/places.rs
@@ -123,14 +123,16 @@
     }
 
     /// The task does not want its place any more, or cannot have it.
-    pub fn lapsed(&mut self, now: Time, task: TaskId, attempt: Attempt) {
+    /// True when others were stopped for it.
+    pub fn lapsed(&mut self, now: Time, task: TaskId, attempt: Attempt) -> bool {
         if self.open.get(&task).is_none_or(|p| p.attempt != attempt) {
-            return;
+            return false;
         }
-        let Some(place) = self.open.remove(&task) else { return };
+        let Some(place) = self.open.remove(&task) else { return false };
         self.figures.lapsed += 1;
         self.figures.in_vain += u64::from(place.stops);
         self.budget.lapsed(now, place.asked);
+        place.stops > 0
     }
 }
 
--- a/crates/sim/tests/found.rs
+++ b/crates/sim/tests/found.rs
@@ -39,3 +39,13 @@
     assert!(!days::faulty(&sound), "{sound:?}");
     assert!(sound.tally.given_back_ill > 0, "the day no longer shows it: {sound:?}");
 }
+
+/// Tasks were stopped all over the fleet by their CPUs, for nobody: 198,469 of them
+/// on one day (docs/incidents/guests-at-fleet-size.md).
+#[test]
+fn nobody_is_stopped_for_nobody() {
+    let faults = Faults { scattered: true, ..Faults::default() };
+    let (found, sound) = both(include_str!("found/scattered.txt"), faults);
+    assert!(found);
+    assert!(!days::faulty(&sound), "{sound:?}");
+}
