The lead is taken by two witnesses before the lease; what meets faulty machines is no mistake

Cause: a holder's end stopped starts until its lease (4 to 6 s) or its own restart; with an end every 19 s the same process took the lead back while two healthy ones looked on.

Change: crates/standby watches the holder's words and the workers that come here instead; both together, and in turn, take the lead by the same conditional transaction. Soundness of a job is told by its progress; failures on machines where others fail too do not speak against it. Only places that stop somebody count against the window. What was inherited may be stopped for those who may not wait, at half its time, after all that is known to be young.

--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -59,6 +59,8 @@
     retry_at: Time,
     /// After stepping back: how long others have to take over.
     stand_back: Time,
+    /// The lead as it was when its holder was found gone: it may be taken.
+    presumed: Option<Stamp>,
 }
 
 impl Leader {
@@ -83,6 +85,7 @@
             check_sent: Time::default(),
             retry_at: Time::default(),
             stand_back: Time::default(),
+            presumed: None,
         }
     }
 
@@ -144,6 +147,13 @@
         self.stand_back = now.plus(STAND_BACK_S);
     }
 
+    /// The holder of this label is gone, by other witnesses than its lease. The
+    /// take rests on the lead being as it is now: if the holder, or another, wrote
+    /// it meanwhile, nothing is taken.
+    pub fn presume_gone(&mut self, holder: &str) {
+        self.presumed = self.lead.as_ref().filter(|(n, _)| n.label == holder).map(|(_, s)| *s);
+    }
+
     /// Leaves the lead to others for a while longer.
     pub fn hold_back(&mut self, now: Time) {
         if self.token.is_none() {
@@ -219,7 +229,8 @@
         let (free, stamp) = match &self.lead {
             None => (true, Stamp(0)),
             Some((name, stamp)) => {
-                (name.label == self.me.label && name.nonce != self.me.nonce, *stamp)
+                let ours = name.label == self.me.label && name.nonce != self.me.nonce;
+                (ours || self.presumed == Some(*stamp), *stamp)
             }
         };
         let Some(permit) = self.permit else { return };
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -18,6 +18,7 @@
 use beamhinge_ageing::Policy;
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_operators::messages::What;
+use beamhinge_standby::{Own as Watcher, Vigil};
 use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors, Work};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Counts, Dest, Out, Service};
@@ -83,6 +84,8 @@
     told_visitors: Time,
     /// What peers say they hear, for when we hold the block.
     elsewhere: Hearsay,
+    /// Watching over the holder, while we are none.
+    vigil: Vigil,
     stall: Stall,
     /// Who was found stuck as a holder, and when.
     stuck: BTreeMap<String, Time>,
@@ -133,6 +136,7 @@
             visitors: Visitors::default(),
             told_visitors: Time::default(),
             elsewhere: Hearsay::default(),
+            vigil: Vigil::default(),
             stall: Stall::new(stuck_after_s(&settings)),
             stuck: BTreeMap::new(),
             directives: Directives::default(),
@@ -279,8 +283,10 @@
                 let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
                 // Sent to the holder a moment ago and back again: it is not
                 // answered there, and would wait for its time-out once more.
+                machine.into_iter().for_each(|m| self.vigil.came(now, m));
                 let holder = self.peers.holder(now).or(self.leader.other_leader());
-                let foreman = holder.filter(|_| !deaf);
+                // Nor is it named where nothing is heard of it any more.
+                let foreman = holder.filter(|_| !deaf && !self.vigil.quiet(now));
                 if let (Some(m), Some(_)) = (machine, foreman) {
                     self.visitors.sent_on(m);
                 }
@@ -470,6 +476,7 @@
                 if self.peers.token_of(&label) != Some(token) {
                     self.visitors.holder_changed();
                 }
+                self.vigil.word(now, &label);
                 self.peers.holds(now, &label, Token(token));
                 // Guard 1: a higher token was taken, so ours is over.
                 if self.leader.token().is_some_and(|t| token > t.0) {
@@ -519,6 +526,7 @@
             self.elsewhere.forget(now, WORD_S);
             self.consider_stall(now, out);
             self.consider_stepping_back(now);
+            self.consider_taking_early(now);
             self.obey_drain(now);
             if now.since(self.measured) >= 1.0 {
                 self.measured = now;
@@ -647,6 +655,31 @@
         }
     }
 
+    /// The holder's words stay away and its workers come here: it is gone, and
+    /// whose turn it is takes the lead before the lease has run out.
+    fn consider_taking_early(&mut self, now: Time) {
+        if self.place.is_some() || self.drained() {
+            return;
+        }
+        let own = &self.settings.label;
+        let turn = |holder: &str| {
+            let others = self.settings.members.iter().map(|m| m.label.as_str());
+            others.filter(|l| *l != holder && *l < own.as_str()).count() as u32
+        };
+        let holder = self.leader.other_leader().unwrap_or("").to_string();
+        let own = Watcher {
+            ledger_age_s: self.ledger_age(now),
+            warm: self.book.loaded() && self.book.fresh().is_some_and(|f| now.since(f) < 3.0),
+            back_for_s: self.presence.back_for(now),
+            turn: turn(&holder),
+        };
+        if let Some(gone) = self.vigil.gone(now, own).filter(|gone| *gone == holder) {
+            tracing::info!("{gone} is not heard and its workers come here: taking the lead");
+            self.leader.presume_gone(gone);
+            self.leader.tick(now, &mut self.ledger);
+        }
+    }
+
     /// After a takeover, workers that still report elsewhere learn the new
     /// token directly: a report to us follows at once.
     fn nudge(&mut self, now: Time, out: &mut Vec<Out>) {
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -291,7 +291,8 @@
     /// Weighs a failure: is it the machine's fault or the job's? Returns how
     /// long the task waits before its next try.
     fn failed(&mut self, now: Time, id: MachineId, job: JobId) -> f64 {
-        let verdict = self.blame.failed(now, id, job, self.report_s);
+        let sound = self.jobs.get(&job).is_some_and(|j| j.progress.count() > 0);
+        let verdict = self.blame.failed(now, id, (job, sound), self.report_s);
         self.heed(&verdict);
         verdict.pause_s.unwrap_or(0.0)
     }
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -132,7 +132,8 @@
         let mut places = Vec::new();
         if !making.vain.iter().any(|(r, less)| *r == right && less.fits(&need)) {
             places = self.seek(now, round, claim, &mut making, &right, &mut wanted);
-            if wanted > 0 && places.len() < self.places.room() {
+            let stopping = places.iter().filter(|(_, o)| !o.victims.is_empty()).count();
+            if wanted > 0 && stopping < self.places.room() && places.len() < round.budget {
                 making.vain.push((right, need));
             }
         }
@@ -184,7 +185,8 @@
         if claim.why != Why::Guarantee {
             *wanted -= sites.coming(want, *wanted, claim.within_s, here);
         }
-        while *wanted > 0 && places.len() < self.places.room() {
+        let mut stopping = 0;
+        while *wanted > 0 && stopping < self.places.room() && places.len() < round.budget {
             let may = |r: &Resident| {
                 let Some(v) = victims.get(r.who as usize) else { return false };
                 if v.spared || v.rose && !above {
@@ -219,6 +221,7 @@
                     *over -= r.size[0];
                 }
             }
+            stopping += usize::from(!offer.victims.is_empty());
             places.push((machine, offer));
             *wanted -= 1;
         }
@@ -272,16 +275,21 @@
                     false => ran + 1.0,
                 };
                 let who = victims.len() as u32;
+                let idle = job.spec.urgency == Urgency::BestEffort && job.spec.due_s.is_none();
                 let (size, left_s) = (e.need.sizes(), (run_s - ran).max(0.0));
                 yields.push(Resident { task: *task, size, loss: lost_s * e.need.cpus, who });
                 victims.push(Victim {
                     urgency: job.spec.urgency,
                     team: e.team,
                     party: (e.team, job.spec.class.clone()),
-                    // Taken for young after each takeover, all that ran was
-                    // stopped first.
-                    young: !e.inherited && ran < run_s * YOUNG,
-                    idle_time: job.spec.urgency == Urgency::BestEffort && job.spec.due_s.is_none(),
+                    // After a takeover nobody knows the age of what runs. What may
+                    // not wait may still have it stopped for a while, at the price
+                    // of half its time, after all that is known to be young: taken
+                    // for the youngest of all, it was stopped first; taken for
+                    // old, a burst after a takeover got no room at all. Idle-time
+                    // work is too much to be stopped by guess.
+                    young: ran < run_s * YOUNG && (!e.inherited || !idle),
+                    idle_time: idle,
                     saves,
                     left_s,
                     guaranteed: guaranteed.contains(&task.job),
--- /dev/null
+++ b/crates/standby/src/lib.rs
@@ -0,0 +1,13 @@
+//! A standby that is ready: by which witnesses it knows that the holder is gone
+//! before the holder's lease says so, and whose turn it is to take the lead.
+//!
+//! Nothing here is a guard. Whoever takes the lead early takes it by the same
+//! conditional transaction as ever, with a higher token; a holder that was only
+//! slow is deposed by it and has lost its turn, not its tasks.
+//!
+//! Sans-IO: words and visitors come in with their times, a finding goes out.
+//! `docs/standby.md` has the ways that were weighed.
+
+mod vigil;
+
+pub use vigil::{Own, Vigil};
