--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -669,7 +669,8 @@
         let holder = self.leader.other_leader().unwrap_or("").to_string();
         let own = Watcher {
             ledger_age_s: self.ledger_age(now),
-            warm: self.book.loaded() && self.book.fresh().is_some_and(|f| now.since(f) < 3.0),
+            // What changed since is read after the take, before anything is placed.
+            warm: self.book.loaded(),
             back_for_s: self.presence.back_for(now),
             turn: turn(&holder),
         };
--- a/crates/standby/src/vigil.rs
+++ b/crates/standby/src/vigil.rs
@@ -24,6 +24,8 @@
 /// Between two takes by this finding, seconds: a holder that is only slow, or that
 /// peers do not hear, must not lose the lead again and again.
 const RARE_S: f64 = 15.0;
+/// Longest since the state service answered us, seconds: a watch waits for three.
+const LEDGER_S: f64 = 3.5;
 /// Machines that are remembered; guards memory.
 const MOST: usize = 256;
 
@@ -32,7 +34,7 @@
 pub struct Own {
     /// Seconds since the state service last answered us.
     pub ledger_age_s: f64,
-    /// Our jobs are read, and as new as that.
+    /// Our jobs are read.
     pub warm: bool,
     /// Seconds since we ourselves stood still, if we did.
     pub back_for_s: Option<f64>,
@@ -98,7 +100,7 @@
         let seen = self.first.since(self.word) <= SEEN_S;
         let witnesses = self.came.len() >= WORKERS && together && seen;
         let rare = self.taken.is_none_or(|at| now.since(at) > RARE_S);
-        let fit = own.warm && own.ledger_age_s < 1.5 && present;
+        let fit = own.warm && own.ledger_age_s < LEDGER_S && present;
         let due = quiet_s > QUIET_S + TURN_S * f64::from(own.turn);
         if !(known && due && witnesses && fit && rare) {
             return None;
@@ -170,7 +172,7 @@
     #[test]
     fn who_is_not_fit_does_not_take() {
         for own in [
-            Own { ledger_age_s: 3.0, ..OWN },
+            Own { ledger_age_s: 4.0, ..OWN },
             Own { warm: false, ..OWN },
             Own { back_for_s: Some(1.0), ..OWN },
         ] {
