--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -281,11 +281,11 @@
             (None, _) => {
                 let machine = MachineId::parse(&report.host);
                 let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
-                // Sent to the holder a moment ago and back again: it is not
-                // answered there, and would wait for its time-out once more.
                 machine.into_iter().for_each(|m| self.vigil.came(now, m));
                 let holder = self.peers.holder(now).or(self.leader.other_leader());
-                // Nor is it named where nothing is heard of it any more.
+                // Sent to the holder a moment ago and back again: it is not
+                // answered there, and would wait for its time-out once more. Nor is
+                // it named where nothing is heard of it any more.
                 let foreman = holder.filter(|_| !deaf && !self.vigil.quiet(now));
                 if let (Some(m), Some(_)) = (machine, foreman) {
                     self.visitors.sent_on(m);
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -305,7 +305,6 @@
             ends.sort_by(|a: &End, b| a.left_s.total_cmp(&b.left_s));
             sites.push(Site { machine: *id, free: free.sizes(), yields, ends });
         }
-        let mut parties: BTreeMap<Party, f64> = BTreeMap::new();
         for job in self.jobs.values().filter(|j| j.state == JobState::Open && !j.complete()) {
             let need = job.need();
             let room: f64 = round
@@ -317,11 +316,7 @@
                 .map(|(_, cpus)| *cpus)
                 .sum();
             let party = (self.team(&job.spec), job.spec.class.clone());
-            let least = parties.entry(party).or_insert(f64::INFINITY);
-            *least = least.min(room);
-        }
-        for (party, room) in &parties {
-            keep.fits_into(party, *room);
+            keep.fits_into(&party, room);
         }
         keep.divide();
         MakingRoom { sites: Sites::new(sites), victims, over, keep, vain: Vec::new() }
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -207,6 +207,9 @@
     /// When the lead was last seen, and the longest time nobody had it.
     led: Us,
     pub leaderless: Us,
+    /// Who had it last, and how often another came to have it.
+    led_by: Option<usize>,
+    pub moves: u64,
 }
 
 impl Sim {
@@ -255,6 +258,8 @@
             answers: BTreeMap::new(),
             led: 0,
             leaderless: 0,
+            led_by: None,
+            moves: 0,
             settings,
             faults,
             owned: 0,
@@ -411,9 +416,14 @@
     /// The rules are about what is on machines: they are looked at whenever that
     /// changed, and each second for what only time breaks.
     fn look_around(&mut self, machine: Option<u64>) {
-        if self.holder().is_some() || self.led == 0 {
+        let holder = self.holder();
+        if holder.is_some() || self.led == 0 {
             self.led = self.now;
         }
+        if holder.is_some() && holder != self.led_by {
+            self.moves += u64::from(self.led_by.is_some());
+            self.led_by = holder;
+        }
         self.leaderless = self.leaderless.max(self.now - self.led);
         machine.into_iter().for_each(|m| self.refresh(m));
         if self.now >= self.checked + SECOND {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -623,6 +623,7 @@
             // Changes of the state service: work counted, not time.
             "writes-at-most" => sim.state.writes <= arg(1).parse().unwrap_or(0),
             "progress-keys" => sim.state.keys_under("d/") == arg(1).parse::<usize>().unwrap_or(0),
+            "moves-at-most" => sim.moves <= arg(1).parse().unwrap_or(0),
             "stopped-at-least" => sim.stops.stopped >= arg(1).parse().unwrap_or(u64::MAX),
             "waits-at-most" => {
                 // waits-at-most JOB SECONDS: until its first task started
--- a/crates/sim/tests/found.rs
+++ b/crates/sim/tests/found.rs
@@ -10,13 +10,18 @@
     (days::faulty(&with), without)
 }
 
+/// With the fault the day fails, and without it ends well.
+fn fails_only_with(faults: Faults, text: &str) {
+    let (found, sound) = both(text, faults);
+    assert!(found);
+    assert!(!days::faulty(&sound), "{sound:?}");
+}
+
 /// Half of a fleet given back while a zone was cut off (docs/incidents/silent-fleet.md).
 #[test]
 fn a_healthy_zone_is_not_given_away() {
     let faults = Faults { hasty: true, ..Faults::default() };
-    let (found, sound) = both(include_str!("found/hasty.txt"), faults);
-    assert!(found);
-    assert!(!days::faulty(&sound), "{sound:?}");
+    fails_only_with(faults, include_str!("found/hasty.txt"));
 }
 
 /// A transaction that is too large, refused and built again
@@ -24,9 +29,7 @@
 #[test]
 fn a_refused_transaction_is_not_repeated() {
     let faults = Faults { unbounded: true, ..Faults::default() };
-    let (found, sound) = both(include_str!("found/unbounded.txt"), faults);
-    assert!(found);
-    assert!(!days::faulty(&sound), "{sound:?}");
+    fails_only_with(faults, include_str!("found/unbounded.txt"));
 }
 
 /// Machines that hung longer than the limit of silence and woke while the call
@@ -45,7 +48,5 @@
 #[test]
 fn nobody_is_stopped_for_nobody() {
     let faults = Faults { scattered: true, ..Faults::default() };
-    let (found, sound) = both(include_str!("found/scattered.txt"), faults);
-    assert!(found);
-    assert!(!days::faulty(&sound), "{sound:?}");
+    fails_only_with(faults, include_str!("found/scattered.txt"));
 }
--- a/crates/suspicion/src/blame.rs
+++ b/crates/suspicion/src/blame.rs
@@ -177,8 +177,7 @@
     pub fn succeeded(&mut self, machine: MachineId, job: JobId) -> Verdict {
         let mut verdict = Verdict::default();
         // A machine that was found at fault stays so: some fail now and then.
-        if let Some((charges, _)) = self.machines.get_mut(&machine).filter(|(_, fault)| !fault) {
-            charges.clear();
+        if self.machines.get(&machine).is_some_and(|(_, fault)| !fault) {
             self.machines.remove(&machine);
         }
         if let Some(case) = self.jobs.get_mut(&job).filter(|case| !case.sound) {
