--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -48,6 +48,8 @@
     /// So late that it may not wait for a machine that has its image.
     pub(super) pressing: bool,
     pub(super) wait_s: Option<f64>,
+    /// By when it should be done, seconds after its submission.
+    pub(super) by_s: Option<f64>,
     /// Of one task.
     cpus: f64,
 }
@@ -518,11 +520,13 @@
             // on alone at the end.
             let late = spec.due_s.is_some() && left < run_s * 0.7;
             let wait_s = round.settings.aim("wait", &spec.class);
-            let pressing = match (spec.due_s, round.settings.aim("finished", &spec.class)) {
+            let aim = round.settings.aim("finished", &spec.class);
+            let pressing = match (spec.due_s, aim) {
                 (Some(due), _) => left - run_s < due * (1.0 - PATIENT),
                 (None, Some(aim)) => age > aim * PATIENT,
                 (None, None) => age > run_s,
             };
+            let by_s = spec.due_s.or(aim);
             // Of those that can make it, the one with the least work left goes
             // first: where not all can be in time, most jobs are. Arrays without
             // a deadline keep their order of arrival.
@@ -539,7 +543,7 @@
             let within = guaranteed.contains(id);
             let prompt = within && age <= bound;
             let rank = (!prompt, u8::MAX - spec.urgency as u8, late, !within);
-            order.push(Waiting { id: *id, rank, left, pressing, wait_s, cpus: spec.cpus });
+            order.push(Waiting { id: *id, rank, left, pressing, wait_s, by_s, cpus: spec.cpus });
         }
         order.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.left.total_cmp(&b.left)));
         order
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -27,7 +27,7 @@
     Guarantee,
     /// Its class has an aim on the wait.
     Wait,
-    /// It has a deadline, and idle-time work is in its way.
+    /// Its time is running out, and idle-time work is in its way.
     Deadline,
 }
 
@@ -87,10 +87,13 @@
         if let Some(within) = w.wait_s.filter(|_| w.rank.2 < 2) {
             return Some(Claim { job: w.id, why: Why::Wait, within_s: (within - age).max(1.0) });
         }
-        // Idle-time work keeps nobody with a deadline out. What is late already
-        // waits for the ends within one task's time.
-        let due = spec.due_s.filter(|_| spec.urgency > Urgency::BestEffort && w.pressing)?;
-        let slack = due - age - self.run_s(job);
+        // Idle-time work keeps nobody out who is pressed: by a deadline, by its
+        // class's aim, or, without either, by having waited as long as it runs. What
+        // is late already waits for the ends within one task's time.
+        if spec.urgency == Urgency::BestEffort || !w.pressing {
+            return None;
+        }
+        let slack = w.by_s.map_or(0.0, |by| by - age - self.run_s(job));
         Some(Claim { job: w.id, why: Why::Deadline, within_s: slack.max(self.horizon_s()) })
     }
 
@@ -148,7 +151,7 @@
                 let why = match claim.why {
                     Why::Guarantee => "gives back borrowed room",
                     Why::Wait => "makes room for more urgent work",
-                    Why::Deadline => "idle-time work makes room for a deadline",
+                    Why::Deadline => "idle-time work makes room for what is pressed",
                 };
                 tracing::info!("{} on {machine}: {why}, {task}", r.task);
                 self.made_room.stopped(r.task);
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -86,6 +86,7 @@
     let mut troubles: BTreeMap<&str, u32> = BTreeMap::new();
     plan.iter().flat_map(|d| &d.troubles).for_each(|(k, n)| *troubles.entry(k).or_default() += n);
     let (mut violations, mut stuck, mut idle, mut failed) = (0, 0, 0, Vec::new());
+    let mut slowest_largest = 0.0;
     let (mut stopped, mut in_vain, mut least) = (0, 0, (String::new(), 1.0));
     let (mut healthy, mut cut_off, mut unexplained, mut started, mut slowest) = (0, 0, 0, 0, 0.0);
     for (n, outcome, real_s) in &played {
@@ -105,12 +106,14 @@
         if served.1 < least.1 {
             least = (format!("{}: {}", day.name, served.0), served.1);
         }
+        let largest = outcome.largest.as_ref().map_or(0.0, |(_, s)| *s);
+        slowest_largest = f64::max(slowest_largest, largest);
         let bad = days::faulty(outcome);
         if bad {
             failed.push(day.name.clone());
         }
         eprintln!(
-            "{:14} {:5} machines {:7} tasks  settled {:4.0} s  cut off {:5}  healthy returned {:4}  unexplained {:4}  stopped {:6} in vain {:4}  least {:.2} {:12}  {:5.1} s  {}",
+            "{:14} {:5} machines {:7} tasks  settled {:4.0} s  cut off {:5}  healthy returned {:4}  unexplained {:4}  stopped {:6} in vain {:4}  least {:.2} {:12}  largest began after {:4.0} s  {:5.1} s  {}",
             day.name,
             outcome.most_machines,
             outcome.started,
@@ -122,6 +125,7 @@
             outcome.in_vain,
             served.1,
             served.0,
+            largest,
             real_s,
             if bad { outcome.wrong.join("; ") } else { "ok".into() },
         );
@@ -151,6 +155,7 @@
         "stopped_for_others": stopped,
         "stopped_for_nobody": in_vain,
         "least_served": [least.0, least.1],
+        "largest_began_within_s": slowest_largest,
         "longest_settle_s": slowest,
         "failed": failed,
         "real_s": began.elapsed().as_secs_f64().round(),
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -25,6 +25,17 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+/// A frame's copy: for whatever process is there when it comes.
+const ANY_LIFE: u64 = u64::MAX;
+/// A report's copy: no worker waits for its answer.
+const COPY: u64 = 0;
+/// A question that is open for longer, without any trouble, is about a job that was
+/// forgotten; seconds.
+const FORGOTTEN_S: u64 = 75;
+
+/// Within so many seconds after the last trouble every user asks once more.
+const LATER_S: u64 = 20;
+
 pub type Reply = Option<(u16, Vec<u8>)>;
 
 #[derive(Debug)]
@@ -172,6 +183,13 @@
     pub zone_cuts: BTreeMap<String, (Us, bool)>,
     /// Controllers that stand still while their clocks run on.
     pub frozen: Vec<Us>,
+    /// Part of the messages of which a copy comes late, by how much at most, and
+    /// until when. Requests that were carried out are repeated likewise.
+    pub copies: (f64, Us, Us),
+    /// When the last trouble ended: from then on every question has an answer.
+    pub healed: Option<Us>,
+    /// Jobs about which a question is open since then.
+    asked: BTreeMap<String, Us>,
     /// How much longer the state service takes, and until when.
     pub state_slow: (f64, Us),
     /// Troubles of controllers and links explain what is lost until then.
@@ -237,6 +255,9 @@
             cuts: BTreeMap::new(),
             zone_cuts: BTreeMap::new(),
             frozen: vec![0; n],
+            copies: (0.0, 0, 0),
+            healed: None,
+            asked: BTreeMap::new(),
             state_slow: (1.0, 0),
             explained_until: 0,
             tally: Tally::default(),
@@ -444,6 +465,13 @@
         None
     }
 
+    /// When a copy of what is sent now arrives, if one is made.
+    fn copied(&mut self) -> Option<Us> {
+        let (part, most, until) = self.copies;
+        let made = self.now < until && self.rng.gen_bool(part);
+        made.then(|| self.now + self.rng.gen_range(SECOND / 2..most.max(SECOND)))
+    }
+
     fn with_node(&mut self, i: usize, f: impl FnOnce(&mut Node, Time, WallMs, &mut Vec<Out>)) {
         let (now, wall) = (Time::from_micros(self.now), self.wall());
         let mut out = Vec::new();
@@ -472,6 +500,16 @@
                         let late = path == "/commit" && self.rng.gen_bool(self.late);
                         let at = if late { at + self.rng.gen_range(1..20) * SECOND } else { at };
                         let quiet = lost || late;
+                        // Watches and reads change nothing, however often they come.
+                        let changes = path == "/commit" || path.starts_with("/holds");
+                        if let Some(again) = self.copied().filter(|_| changes) {
+                            let (path, body) = (path.clone(), body.clone());
+                            let quiet = true;
+                            self.push(
+                                again,
+                                Event::ToState { node: i, life, call: id, method, path, body, quiet },
+                            );
+                        }
                         self.push(
                             at,
                             Event::ToState { node: i, life, call: id, method, path, body, quiet },
@@ -481,6 +519,14 @@
                         if let Some(then) = self.passes(i, Far::Cloud, at) {
                             let late = then > at;
                             let call = id;
+                            let again = self.copied();
+                            if let Some(again) = again.filter(|_| method != Method::Get) {
+                                let (path, body, late) = (path.clone(), body.clone(), true);
+                                self.push(
+                                    again,
+                                    Event::ToCloud { node: i, life, call, method, path, body, late },
+                                );
+                            }
                             self.push(
                                 then + 50_000,
                                 Event::ToCloud { node: i, life, call, method, path, body, late },
@@ -492,10 +538,13 @@
                         let machine = u64::from(addr.port()) - 10_000;
                         let zone = self.worker_zone(machine);
                         if let Some(at) = self.passes(i, Far::Worker(&zone), at) {
-                            self.push(
-                                at,
-                                Event::ToWorker { node: i, life, call: id, machine, body },
-                            );
+                            let call = id;
+                            if let Some(again) = self.copied() {
+                                let body = body.clone();
+                                let e = Event::ToWorker { node: i, life, call, machine, body };
+                                self.push(again, e);
+                            }
+                            self.push(at, Event::ToWorker { node: i, life, call, machine, body });
                         }
                     }
                 }
@@ -536,6 +585,11 @@
                     if let Some(at) = self.passes(i, Far::Peer(to), self.now + hop) {
                         let life = self.lives[to];
                         self.push(at, Event::Frame { to, life, body: frame.clone() });
+                        // A copy comes even to a process that has begun since.
+                        if let Some(again) = self.copied() {
+                            let body = frame.clone();
+                            self.push(again, Event::Frame { to, life: ANY_LIFE, body });
+                        }
                     }
                 }
             }
@@ -612,8 +666,8 @@
                 }
             }
             Event::ToWorker { node, life, call, machine, body } => {
-                let Some(w) = self.workers.get_mut(&machine).filter(|w| self.now >= w.cut_until)
-                else {
+                let reached = |w: &&mut Worker| self.now >= w.cut_until.max(w.deaf_until);
+                let Some(w) = self.workers.get_mut(&machine).filter(reached) else {
                     return;
                 };
                 let reply = w.direct(self.now, &decode(&body), &self.jobs, self.doubles);
@@ -642,7 +696,7 @@
                 let doubles = self.doubles;
                 let n = self.nodes.len();
                 let Some(w) = self.workers.get_mut(&machine) else { return };
-                if self.now < w.cut_until {
+                if self.now < w.cut_until.max(w.deaf_until) {
                     return;
                 }
                 let again = w.answered(self.now, serial, status, &body, n, &self.jobs, doubles);
@@ -682,7 +736,8 @@
             }
             Event::Frame { to, life, body } => {
                 let mut buf = body;
-                if let (Ok(Some(frame)), true) = (peers::take(&mut buf), self.lives[to] == life) {
+                let there = life == ANY_LIFE || self.lives[to] == life;
+                if let (Ok(Some(frame)), true) = (peers::take(&mut buf), there) {
                     self.with_node(to, |n, now, wall, out| n.on_frame(now, wall, frame, out));
                 }
             }
@@ -713,6 +768,10 @@
             let zone = self.worker_zone(machine);
             if let Some(at) = self.passes(node, Far::Worker(&zone), self.now + 2_000) {
                 let body = wire::encode(&body);
+                if let Some(again) = self.copied() {
+                    let (body, serial) = (body.clone(), COPY);
+                    self.push(again, Event::ReportArrives { machine, node, serial, body });
+                }
                 self.push(at, Event::ReportArrives { machine, node, serial, body });
             }
         }
@@ -768,6 +827,9 @@
             return self.retry(job, what, since, 1.0);
         }
         let node = up[self.rng.gen_range(0..up.len())];
+        if self.healed.is_some() {
+            self.asked.entry(job.clone()).or_insert(self.now);
+        }
         let told = self.told.entry(job.clone()).or_default();
         let (method, path, body) = match what {
             What::Submit => {
@@ -802,6 +864,9 @@
         let total = self.jobs.get(&job).and_then(|j| j.body["pieces"].as_u64()).unwrap_or(0);
         let done = self.results_of(&job);
         let now = self.now;
+        if status < 500 {
+            self.asked.remove(&job);
+        }
         let told = self.told.entry(job.clone()).or_default();
         let (broken, next) = told.answered(now, what, status, &state, done >= total);
         for rule in broken {
@@ -827,12 +892,28 @@
 
     /// What each class and each team got of the work it may have done.
     pub fn served(&self) -> Vec<(String, f64)> {
-        let counts = |id: &str, plan: &JobPlan| {
-            let told = self.told.get(id);
-            let kept = told.is_some_and(|t| t.accepted && !t.asked_cancel);
-            kept && !plan.fails && plan.body["jobKind"] == "batch"
-        };
-        stopped::served(&self.jobs, counts, |id| self.results_of(id))
+        stopped::served(&self.jobs, |id, plan| self.counts(id, plan), |id| self.results_of(id))
+    }
+
+    /// Jobs that were accepted and should be done.
+    fn counts(&self, id: &str, plan: &JobPlan) -> bool {
+        let told = self.told.get(id);
+        let kept = told.is_some_and(|t| t.accepted && !t.asked_cancel);
+        kept && !plan.fails && plan.body["jobKind"] == "batch"
+    }
+
+    /// The longest that one of its class's largest jobs waited until it began, or
+    /// has waited by now, seconds.
+    pub fn largest_wait(&self) -> Option<(String, f64)> {
+        let started: BTreeMap<&str, Us> =
+            self.first_starts.iter().map(|(job, at)| (job.as_str(), *at)).collect();
+        let largest = stopped::largest(&self.jobs, |id, plan| self.counts(id, plan));
+        let waits = largest.iter().filter_map(|id| {
+            let began = started.get(id.as_str()).copied().unwrap_or(self.now);
+            let waited = began.saturating_sub(self.jobs.get(id)?.sent);
+            Some((id.clone(), waited as f64 / 1e6))
+        });
+        waits.max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     /// Looks at the watches then, or before: one event at a time, or each request
@@ -910,10 +991,43 @@
         self.frozen.iter_mut().for_each(|f| *f = (*f).min(now));
         (self.lose_replies, self.late) = (0.0, 0.0);
         self.state_slow = (1.0, 0);
+        self.copies.2 = self.copies.2.min(now);
+        self.workers.values_mut().for_each(|w| w.deaf_until = w.deaf_until.min(now));
         self.state.down_until = self.state.down_until.min(now);
         self.cloud.down_until = self.cloud.down_until.min(now);
         self.cloud.part = 1.0;
         (0..self.settings.len()).for_each(|i| self.start(i));
+        self.healed = Some(now);
+        // Users may ask at any later time, also about what is over.
+        let accepted: Vec<String> =
+            self.told.iter().filter(|(_, t)| t.accepted).map(|(id, _)| id.clone()).collect();
+        for job in accepted {
+            let at = now + self.rng.gen_range(0..LATER_S * SECOND);
+            self.push(at, Event::UserSends { job, what: What::Poll, since: at });
+        }
+    }
+
+    /// Users wait for answers that must come, or will ask again for the first time.
+    pub fn questions_open(&self) -> bool {
+        let Some(healed) = self.healed else { return false };
+        let open = |job: &String| self.told.get(job).is_some_and(|t| t.accepted);
+        let first = self.now < healed + (LATER_S + 1) * SECOND;
+        let forgotten = self.broken.contains("forgotten");
+        first || !forgotten && self.asked.keys().any(open)
+    }
+
+    /// Accepted jobs about which no question was answered in time, once all
+    /// troubles are over, however others fare.
+    fn look_for_forgotten(&mut self) {
+        let Some(healed) = self.healed else { return };
+        let late = |(job, at): (&String, &Us)| {
+            let kept = self.told.get(job).is_some_and(|t| t.accepted);
+            (kept && self.now > (*at).max(healed) + FORGOTTEN_S * SECOND).then(|| job.clone())
+        };
+        let forgotten: Vec<String> = self.asked.iter().filter_map(late).collect();
+        for job in forgotten {
+            self.break_rule("forgotten", &format!("{job}, about which nobody is told"));
+        }
     }
 
     /// Rules that were broken.
@@ -1013,6 +1127,7 @@
     /// What only time breaks.
     fn look_at_the_clock(&mut self) {
         self.stops.look(self.now);
+        self.look_for_forgotten();
         let cancel = (self.settings[0].params.workers.cancel_s * 1e6) as Us;
         let late = |job: &str| {
             let told = self.told.get(job).and_then(|t| t.cancelled);
--- a/crates/sim/src/days.rs
+++ b/crates/sim/src/days.rs
@@ -71,7 +71,7 @@
 
     /// One trouble of a drawn kind at about this time.
     fn trouble(&mut self, at: f64) {
-        const KINDS: [&str; 18] = [
+        const KINDS: [&str; 23] = [
             "burst",
             "die",
             "hang",
@@ -90,6 +90,11 @@
             "capacity",
             "state",
             "zone_cut",
+            "deaf",
+            "copies",
+            "but_workers",
+            "blink",
+            "reboot",
         ];
         let kind = KINDS.choose(&mut self.rng).copied().unwrap_or("crash");
         let (lease, machines) = (self.lease, self.machines);
@@ -125,6 +130,24 @@
                 format!("freeze {who} {:.1}", hang)
             }
             "roll" => format!("roll every={:.1}", self.between(8.0, 25.0)),
+            "deaf" => format!("deaf count={count:.0} for={:.1}", cut.max(lease * 1.2)),
+            "reboot" => format!("reboot count={count:.0}"),
+            "copies" => {
+                let (part, long) = (self.between(0.05, 0.4), self.between(20.0, 60.0));
+                format!("copies {part:.2} most={:.1} for={long:.0}", self.between(2.0, 2.5 * lease))
+            }
+            "but_workers" => format!("cut {who} but-workers {cut:.1}{hold}"),
+            "blink" => {
+                // Twice, the second amid the election that the first began; copies of
+                // old messages, and repeats of requests, come after it.
+                let again = at + self.between(0.2, 3.0);
+                let who = if self.rng.gen_bool(0.4) { "all" } else { who };
+                let most = self.between(1.0, 2.0 * lease);
+                self.at(at - 5.0, "", &format!("copies 0.30 most={most:.1} for=15"));
+                let after = self.between(0.1, 0.9);
+                self.at(again, "", &format!("blink {who} {after:.2}"));
+                format!("blink {who} {:.2}", self.between(0.1, 0.9))
+            }
             "peers_refuse" => format!("peers-refuse {:.1}", self.between(20.0, 40.0)),
             "spot_taken" => format!("take count={:.0}", count * 2.0),
             "capacity" => {
@@ -291,6 +314,12 @@
         || given_away(o)
         || stopped_for_nobody(o)
         || starved(o)
+        || begins_late(o)
+}
+
+/// One of its class's largest jobs did not begin within four minutes.
+pub fn begins_late(o: &Outcome) -> bool {
+    o.largest.as_ref().is_some_and(|(_, waited_s)| *waited_s > 240.0)
 }
 
 /// More than a fiftieth of what was stopped for others was stopped for nobody,
@@ -299,7 +328,7 @@
     o.in_vain > (o.stopped / 50).max(8)
 }
 
-/// A class or team got less than half of its work done in the time in which all
+/// A class, its largest jobs or a team got less than half of the work done in the time in which all
 /// that fits should be.
 pub fn starved(o: &Outcome) -> bool {
     o.least.as_ref().is_some_and(|(_, part)| *part < 0.5)
@@ -354,6 +383,8 @@
     #[serde(default)]
     from_workers: bool,
     #[serde(default)]
+    from_peers: bool,
+    #[serde(default)]
     refused: bool,
     #[serde(default)]
     mode: String,
@@ -427,6 +458,7 @@
             "node_cut" => {
                 let what = match (f.from_state, f.from_workers, f.refused) {
                     (_, _, true) => "refused",
+                    (true, false, _) if f.from_peers => "but-workers",
                     (true, false, _) => "state",
                     (false, true, _) => "workers",
                     _ => "all",
@@ -466,7 +498,7 @@
                 m
             },
         );
-        assert_eq!(kinds.len(), 24, "every kind is drawn: {kinds:?}");
+        assert_eq!(kinds.len(), 29, "every kind is drawn: {kinds:?}");
     }
 
     #[test]
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -66,6 +66,8 @@
     /// Tasks stopped for others, and those in whose place nobody started.
     pub stopped: u64,
     pub in_vain: u64,
+    /// The longest that one of its class's largest jobs waited to begin, seconds.
+    pub largest: Option<(String, f64)>,
     /// The class or team served least some time after the last trouble, and how
     /// much of its work was done by then.
     pub least: Option<(String, f64)>,
@@ -209,17 +211,43 @@
             sim.crash(i);
             sim.explain_until(sim.now);
         }
+        "blink" => {
+            // blink WHO SECONDS: it ends and is back that soon; `all`: each of them.
+            let after = seconds(arg(2)?)?;
+            let who: Vec<usize> = match arg(1)? {
+                "all" => (0..sim.settings.len()).collect(),
+                one => vec![node(sim, one)?],
+            };
+            for i in who {
+                sim.crash(i);
+                sim.push(sim.now + after, Event::Start(i));
+            }
+            sim.explain_until(sim.now);
+        }
+        "copies" => {
+            // copies PART most=SECONDS for=SECONDS: of reports, frames, commands and
+            // requests that change something, a copy comes late.
+            let part: f64 = arg(1)?.parse().map_err(|_| "copies PART")?;
+            let most = (number(words, "most", 10.0)? * 1e6) as Us;
+            let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
+            sim.copies = (part.clamp(0.0, 1.0), most, until);
+        }
         "crash-all" => {
             (0..sim.settings.len()).for_each(|i| sim.crash(i));
             sim.explain_until(sim.now);
         }
         "start-all" => (0..sim.settings.len()).for_each(|i| sim.start(i)),
         "cut" => {
-            // cut WHO WHAT SECONDS; WHAT: state, refused, workers, peers, cloud, all
+            // cut WHO WHAT SECONDS; WHAT: state, refused, workers, peers, cloud, all, or
+            // but-workers: the state service and the other controllers
             let i = node(sim, arg(1)?)?;
             let until = sim.now + seconds(arg(3)?)?;
             let all = ["state", "workers", "peers", "cloud"];
-            let what: Vec<&str> = if arg(2)? == "all" { all.to_vec() } else { vec![arg(2)?] };
+            let what: Vec<&str> = match arg(2)? {
+                "all" => all.to_vec(),
+                "but-workers" => vec!["state", "peers"],
+                one => vec![one],
+            };
             for w in what {
                 sim.cuts.insert((i, w.to_string()), (until, words.contains(&"hold")));
             }
@@ -293,7 +321,8 @@
             let _ = sim.cloud.take_booted();
             sim.push(sim.now + SECOND, Event::Report { machine: id });
         }
-        what @ ("take" | "notice" | "hang" | "cut-machines" | "sick" | "slow" | "die") => {
+        what @ ("take" | "notice" | "hang" | "cut-machines" | "sick" | "slow" | "die" | "deaf"
+        | "reboot") => {
             // The machines with the most on them, as the bench would choose.
             let count = number(words, "count", 1.0)? as usize;
             let until = sim.now + (number(words, "for", 10.0)? * 1e6) as u64;
@@ -320,6 +349,8 @@
                     "notice" => w.reclaim_at = Some(until),
                     "hang" => w.hang_until = until,
                     "cut-machines" => w.cut_until = until,
+                    "deaf" => w.deaf_until = until,
+                    "reboot" => w.reboot(sim.now),
                     "sick" => w.sick = true,
                     _ => w.slow = 4.0,
                 }
@@ -456,6 +487,7 @@
     if settles && !doubles {
         settle(&mut sim, get("settle", SETTLE_S as f64) as u64, &mut outcome);
     }
+    outcome.largest = sim.largest_wait();
     outcome.violations = sim.violations();
     if !outcome.violations.is_empty() {
         outcome.wrong.push(format!("rules broken: {:?}", sim.log));
@@ -470,6 +502,7 @@
             "healthy-returned-at-most" => outcome.tally.healthy_returned as f64,
             "unexplained-at-most" => outcome.tally.unexplained as f64,
             "settled-within" => outcome.settled_s,
+            "largest-begin-within" => outcome.largest.as_ref().map_or(0.0, |(_, s)| *s),
             "expired-at-most" => outcome.tally.expired as f64,
             "stopped-at-most" => sim.stops.stopped as f64,
             "in-vain-at-most" => sim.stops.in_vain as f64,
@@ -514,6 +547,11 @@
         outcome.least = sim.served().into_iter().next();
     }
     outcome.settled_s = (sim.now - began) as f64 / 1e6;
+    // Every question about an accepted job has its answer by now, or its rule broken.
+    while sim.questions_open() {
+        sim.run_until(sim.now + 2 * SECOND);
+        while sim.due_script().is_some() {}
+    }
     outcome.stuck = sim.unfinished().into_iter().map(String::from).collect();
     if !outcome.stuck.is_empty() {
         outcome
@@ -634,6 +672,7 @@
             "healthy-returned-at-most"
             | "unexplained-at-most"
             | "settled-within"
+            | "largest-begin-within"
             | "expired-at-most"
             | "stopped-at-most"
             | "in-vain-at-most"
--- a/crates/sim/src/stopped.rs
+++ b/crates/sim/src/stopped.rs
@@ -3,7 +3,7 @@
 
 use beamhinge_standins::worker::{Event, Happened};
 use beamhinge_standins::{JobPlan, Us, SECOND};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A start later than this is not in the stopped task's place.
 const IN_PLACE: Us = 30 * SECOND;
@@ -101,18 +101,44 @@
     }
 }
 
-/// Part of the tasks that are done, of each class and each team, the least first.
+/// Each class's largest jobs by the CPUs they take: a tenth of them, one at least.
+pub fn largest(
+    jobs: &BTreeMap<String, JobPlan>,
+    counts: impl Fn(&str, &JobPlan) -> bool,
+) -> BTreeSet<String> {
+    let mut by_class: BTreeMap<&str, Vec<(f64, &String)>> = BTreeMap::new();
+    for (id, plan) in jobs.iter().filter(|(id, p)| counts(id, p)) {
+        let number = |field: &str| plan.body[field].as_f64().unwrap_or(0.0);
+        let size = number("pieces") * number("vcpus");
+        by_class.entry(text(plan, "jobClass")).or_default().push((size, id));
+    }
+    let mut out = BTreeSet::new();
+    for mut of in by_class.into_values() {
+        of.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let most = of.len().div_ceil(10);
+        out.extend(of.into_iter().take(most).map(|(_, id)| id.clone()));
+    }
+    out
+}
+
+/// Part of the tasks that are done, of each class, its largest jobs, and each
+/// team, the least first.
 pub fn served(
     jobs: &BTreeMap<String, JobPlan>,
     counts: impl Fn(&str, &JobPlan) -> bool,
     done: impl Fn(&str) -> u64,
 ) -> Vec<(String, f64)> {
     let mut parts: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+    let largest = largest(jobs, &counts);
     for (id, plan) in jobs.iter().filter(|(id, p)| counts(id, p)) {
         let tasks = plan.body["pieces"].as_u64().unwrap_or(0);
-        for name in
-            [format!("class {}", text(plan, "jobClass")), format!("team {}", text(plan, "owner"))]
-        {
+        let class = text(plan, "jobClass");
+        let names = [
+            Some(format!("class {class}")),
+            Some(format!("team {}", text(plan, "owner"))),
+            largest.contains(id).then(|| format!("largest of {class}")),
+        ];
+        for name in names.into_iter().flatten() {
             let part = parts.entry(name).or_default();
             part.0 += tasks;
             part.1 += done(id).min(tasks);
@@ -172,6 +198,10 @@
 
     #[test]
     fn the_least_served_comes_first() {
+        // The wide job alone is its class's largest: it counts beside its class.
+        let half = |id: &str| if id == "job-2" { 1 } else { 4 };
+        let parts = served(&plans(), |_, _| true, half);
+        assert!(parts.contains(&("largest of high".to_string(), 0.25)), "{parts:?}");
         let done = |id: &str| if id == "job-3" { 1 } else { 4 };
         let parts = served(&plans(), |_, _| true, done);
         assert_eq!(parts.first().map(|(n, p)| (n.as_str(), *p)), Some(("team two", 0.25)));
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -55,6 +55,8 @@
     next_report: Us,
     pub cut_until: Us,
     pub hang_until: Us,
+    /// Its reports go out, and neither answers nor commands reach it until then.
+    pub deaf_until: Us,
     pub reclaim_at: Option<Us>,
     pub sick: bool,
     pub slow: f64,
@@ -93,6 +95,7 @@
             next_report: now,
             cut_until: 0,
             hang_until: 0,
+            deaf_until: 0,
             reclaim_at: None,
             sick: false,
             slow: 1.0,
@@ -397,6 +400,20 @@
         }
     }
 
+    /// The machine is switched off and on again: its worker knows nothing of its
+    /// tasks, its images or any token, and begins its next session.
+    pub fn reboot(&mut self, now: Us) {
+        let lost = self.tasks.drain(..).filter(|t| t.status == "running" || t.status == "saving");
+        for (piece, attempt) in lost.map(|t| (t.piece, t.attempt)) {
+            self.events.push(Event { piece, attempt, what: Happened::Stopped });
+        }
+        self.images.clear();
+        self.tenure += 1;
+        self.baton = 0;
+        self.flying = None;
+        (self.renewed, self.next_report) = (now, now);
+    }
+
     /// The machine goes: whatever runs on it ends with it.
     pub fn stop_all(&mut self) -> Vec<Event> {
         self.renewed = 0;
