Machines that take no answers are left alone; copies that come late prove nothing and stop nobody

Cause: a machine whose reports arrive and whose answers do not looks empty and sound: it got task after task. crates/suspicion Heed: two answers in a row without a trace (one, if the worker went to another controller meanwhile) and its tasks go elsewhere, it is tried again after 8 to 64 s, replaced by and by and given back after four leases. A copy of a report of a machine that is gone made it known again, with its tasks as strangers that kept their next place empty; a copy of an old report put off the proof by silence. Neither does now. A controller that hears neither the state service nor any peer tells /up so: users who stayed there were told nothing. Nobody is stopped for a place that cannot be committed since the state service is out of touch.

--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -240,6 +240,15 @@
                 }
                 Finding::Heard | Finding::Overdue => {}
             }
+            // It reports and nothing reaches it: like one behind a broken link, it is
+            // replaced by and by, and given back when that lasts.
+            if let Some(deaf_s) = place.machine(s.id).and_then(|m| m.heed.deaf_s(now)) {
+                if deaf_s > lease_s * 4.0 && !self.instances.get(id).is_some_and(|i| i.owned) {
+                    given_up.insert(*id, "takes no answers");
+                } else {
+                    self.shielded.insert(*id, deaf_s);
+                }
+            }
         }
         let mut out = Vec::new();
         for (id, i) in &mut self.instances {
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -216,7 +216,7 @@
             refuse(out, id, 503, "operators have drained this controller");
         } else if self.stall.stuck_s(now).is_some() && self.peers.others_reach_ledger(now) {
             refuse(out, id, 503, "this controller is stuck");
-        } else if age > 2.5 && self.peers.others_reach_ledger(now)
+        } else if age > 2.5 && (self.peers.others_reach_ledger(now) || self.cut_off(now))
             || !self.book.loaded() && now.since(self.started) < 5.0
         {
             refuse(out, id, 503, "the state service cannot be reached from here");
@@ -230,6 +230,15 @@
         }
     }
 
+    /// Neither the state service nor any peer is heard from here: it is more likely
+    /// that we are cut off than that all of them are gone. Users who stay at such a
+    /// controller are told nothing for as long as that lasts.
+    fn cut_off(&self, now: Time) -> bool {
+        !self.settings.members.is_empty()
+            && now.since(self.started) > 5.0
+            && self.peers.silent_s(now).is_none_or(|s| s > 2.5)
+    }
+
     /// Operators want this controller out of the way.
     fn drained(&self) -> bool {
         self.directives.standing().node_drained(&self.settings.label)
@@ -747,6 +756,9 @@
         self.wall = wall;
         if let Some(away_s) = self.presence.at(now) {
             tracing::warn!("this controller stood still for {away_s:.1} s");
+            if let Some(place) = &mut self.place {
+                place.back_at = Some(now);
+            }
         }
     }
 
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -63,6 +63,11 @@
         self.holder.as_ref().filter(|(l, ..)| l == label).map(|(_, t, _)| t.0)
     }
 
+    /// Seconds since any peer was last heard; none if none ever was.
+    pub fn silent_s(&self, now: Time) -> Option<f64> {
+        self.heard.iter().map(|(_, at, _)| now.since(*at)).min_by(f64::total_cmp)
+    }
+
     /// Some peer reaches the state service though we may not.
     pub fn others_reach_ledger(&self, now: Time) -> bool {
         self.heard.iter().any(|(_, at, age)| now.since(*at) < 4.0 && *age < 3.0)
--- a/crates/controller/src/placement/explain.rs
+++ b/crates/controller/src/placement/explain.rs
@@ -186,7 +186,7 @@
                 None if zone_barred(&job.spec, in_zones, &m.zone) => tally.other_zone += 1,
                 None => match self.hindrance(now, m) {
                     Some(Hindrance::Silent) => tally.silent += 1,
-                    Some(Hindrance::Unsynced) => tally.unsynced += 1,
+                    Some(Hindrance::Unsynced | Hindrance::Deaf) => tally.unsynced += 1,
                     Some(Hindrance::Refusing) => tally.refusing += 1,
                     Some(Hindrance::Taken) => tally.taken += 1,
                     Some(Hindrance::Leaving) => tally.leaving += 1,
@@ -241,6 +241,7 @@
         }
         row.state = match self.hindrance(now, m) {
             None | Some(Hindrance::Refusing) | Some(Hindrance::Unsynced) => "up",
+            Some(Hindrance::Deaf) => "deaf",
             Some(Hindrance::Silent) if m.heard.is_none() => "starting",
             Some(Hindrance::Silent) => "silent",
             Some(Hindrance::Taken) => "taken",
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -19,7 +19,7 @@
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
 use beamhinge_room::{Figures, Places, Stops};
-use beamhinge_suspicion::{Blame, Rhythm};
+use beamhinge_suspicion::{Blame, Heed, Rhythm};
 use beamhinge_vocab::messages::Counts;
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
@@ -150,6 +150,8 @@
     pub idle_since: Time,
     /// It refused a task for which our books saw room: until then, no more.
     refuses_until: Time,
+    /// Whether it takes what it is told.
+    pub heed: Heed,
     pub sick: bool,
     /// Run times here over those expected, and how many tell so.
     pace: (f64, u32),
@@ -211,6 +213,7 @@
             images: Vec::new(),
             idle_since: now,
             refuses_until: Time::default(),
+            heed: Heed::default(),
             sick: false,
             pace: (1.0, 0),
             slow: false,
@@ -363,6 +366,10 @@
     RefreshJobs,
 }
 
+/// A holder asks the state service each second: beyond this it is out of touch.
+const IN_TOUCH_S: f64 = 1.8;
+/// A worker that waits longer for an answer goes to the next controller.
+const PATIENCE_S: f64 = 4.0;
 /// How often machines are looked over for silence.
 const SILENCE_S: f64 = 0.2;
 /// Tasks of a job that must have ended before it is judged by them.
@@ -370,6 +377,9 @@
 /// Direct calls to workers that go out together.
 const MOST_STOPS: usize = 16;
 
+/// Machines that are gone and remembered: more are not given back within minutes,
+/// and a copy comes no later.
+const GONE_KNOWN: usize = 4_096;
 /// Tasks whose stops are remembered.
 const STOPS_KNOWN: usize = 4_096;
 
@@ -392,8 +402,15 @@
     blame: Blame,
     /// Places that are kept for those they were stopped for.
     places: Places,
+    /// Machines that the cloud has confirmed to be gone: reports in their names are
+    /// copies that come late.
+    gone: BTreeSet<MachineId>,
     /// When all that could be stopped was looked at last.
     room_at: Time,
+    /// When we ourselves came back from standing still.
+    pub back_at: Option<Time>,
+    /// The state service answered a moment ago: what is planned will be committed.
+    in_touch: bool,
     machines: BTreeMap<MachineId, Machine>,
     jobs: BTreeMap<JobId, Job>,
     pages: Pages,
@@ -473,7 +490,10 @@
             made_room: Stops::new(STOPS_KNOWN),
             blame: Blame::default(),
             places: Places::default(),
+            gone: BTreeSet::new(),
             room_at: Time::default(),
+            back_at: None,
+            in_touch: false,
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             pages: Pages::new(token),
@@ -827,6 +847,7 @@
         }
         self.drive_load(now, ledger);
         self.chronicle.at(wall);
+        self.in_touch = ledger.last_ok().is_some_and(|at| now.since(at) < IN_TOUCH_S);
         // Silence is a matter of seconds: looking after every report would cost
         // the whole fleet each time.
         if now.since(self.silence_at) >= SILENCE_S {
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -101,6 +101,7 @@
     Silent,
     Unsynced,
     Refusing,
+    Deaf,
     Taken,
     Leaving,
     Drained,
@@ -247,6 +248,7 @@
             (m.sick, Hindrance::Sick),
             (m.slow, Hindrance::Slow),
             (now < m.refuses_until, Hindrance::Refusing),
+            (m.heed.deaf(now), Hindrance::Deaf),
         ];
         all.into_iter().find(|(holds, _)| *holds).map(|(_, why)| why)
     }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -20,6 +20,18 @@
     Order { verb, piece: task.to_string(), attempt: attempt.0, wind_down_s: wind }
 }
 
+/// A report that is newer than the last, and what it is worth.
+#[derive(Clone, Copy)]
+struct Newer {
+    moment: Moment,
+    /// It begins a newer session.
+    tenure: bool,
+    /// It carries our token.
+    ours: bool,
+    /// Its worker was without an answer for so long that it tried another controller.
+    timed_out: bool,
+}
+
 impl Placement {
     // ---- workers ----
 
@@ -33,20 +45,31 @@
     ) -> Vec<Order> {
         let Some(id) = MachineId::parse(&report.host) else { return Vec::new() };
         let moment = Moment { tenure: report.tenure, tick: report.tick };
+        // Guard 3: what the cloud confirmed to be gone is gone, and no name is given
+        // twice: this is a copy that comes late. Taken for a report it would show tasks
+        // that are on no machine, keep them from their next place, and ask for more.
+        if self.gone.contains(&id) {
+            return Vec::new();
+        }
         let ours = report.baton == self.token.0;
         let m = self.machines.entry(id).or_insert_with(|| {
             self.replan = true;
             Machine::new(now)
         });
-        m.answered = Some(now);
-        // Guard 3: a report that is not newer than the last proves nothing.
+        // Guard 3: a report that is not newer than the last proves nothing. It may be
+        // a copy that comes late: no worker waits for its answer, so it is none, and
+        // a dead machine's copies do not put off the proof by silence. (The answer to
+        // the report itself, if the copy overtook it, renews the lease from when that
+        // was sent, which was before the copy came.)
         if m.last.is_some_and(|l| l >= moment) {
             return Vec::new();
         }
+        m.answered = Some(now);
         let newer_tenure = m.last.is_some_and(|l| l.tenure < moment.tenure);
         m.last = Some(moment);
-        if let Some(before) = m.heard.filter(|_| !newer_tenure) {
-            self.rhythm.heard(now.since(before));
+        let gap_s = m.heard.map_or(0.0, |before| now.since(before));
+        if m.heard.is_some() && !newer_tenure {
+            self.rhythm.heard(gap_s);
         }
         m.heard = Some(now);
         m.shape = shapes.iter().position(|s| s.label == report.shape);
@@ -66,7 +89,11 @@
         if !self.loaded {
             return Vec::new();
         }
-        self.take_in(now, id, moment, newer_tenure, ours, report);
+        // Reports that waited while we stood still tell nothing of the worker's way.
+        let away = self.back_at.is_some_and(|at| now.since(at) < PATIENCE_S * 2.5);
+        let timed_out = !away && gap_s > PATIENCE_S.max(self.report_s * 1.4);
+        let newer = Newer { moment, tenure: newer_tenure, ours, timed_out };
+        self.take_in(now, id, newer, report);
         if !ours {
             // The answer raises the worker's token; commands wait until a
             // report shows that it has seen it.
@@ -75,25 +102,39 @@
         self.orders(now, id, moment, report, shapes, book)
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn take_in(
-        &mut self,
-        now: Time,
-        id: MachineId,
-        moment: Moment,
-        newer_tenure: bool,
-        ours: bool,
-        report: &Report,
-    ) {
+    fn take_in(&mut self, now: Time, id: MachineId, newer: Newer, report: &Report) {
+        let Newer { moment, tenure: newer_tenure, ours, timed_out } = newer;
         let pieces: Vec<(TaskId, &Piece)> =
             report.pieces.iter().filter_map(|p| Some((TaskId::parse(&p.piece)?, p))).collect();
         let tasks: Vec<(TaskId, Attempt, State)> = match self.machines.get(&id) {
             Some(m) => m.entries.iter().map(|(t, e)| (*t, e.attempt, e.state)).collect(),
             None => return,
         };
+        // Did what went with the last answer leave a trace?
+        let listed = |task: TaskId, attempt: Attempt| {
+            pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p)
+        };
+        let (mut arrived, mut lost) = (false, false);
+        for (task, attempt, state) in &tasks {
+            if let State::Sent(at) = state {
+                let there = listed(*task, *attempt).is_some();
+                arrived |= there;
+                lost |= !there && ours && (newer_tenure || moment > *at);
+            }
+        }
+        let mut elsewhere = false;
+        if let Some(m) = self.machines.get_mut(&id) {
+            if arrived {
+                m.heed.arrived();
+            } else if lost {
+                elsewhere = m.heed.missed(now, timed_out);
+            }
+        }
+        if elsewhere {
+            tracing::info!("{id} reports and takes no answers: its tasks go elsewhere for now");
+        }
         for (task, attempt, state) in tasks {
-            let here =
-                pieces.iter().find(|(t, p)| *t == task && p.attempt == attempt.0).map(|(_, p)| *p);
+            let here = listed(task, attempt);
             if here.is_some_and(began) {
                 self.places.started(now, task, attempt);
             }
@@ -132,6 +173,9 @@
                     }
                     // The report carries our token and is newer than the one
                     // answered with `run`: the answer was dropped.
+                    State::Sent(at) if ours && moment > at && elsewhere => {
+                        self.end(now, id, task, false, 0.0)
+                    }
                     State::Sent(at) if ours && moment > at => {
                         if let Some(e) = self.entry(id, task) {
                             e.state = State::Committed;
@@ -447,6 +491,11 @@
 
     /// The cloud has confirmed that the machine and all on it are gone.
     pub fn machine_gone(&mut self, now: Time, id: MachineId) {
+        if self.gone.len() >= GONE_KNOWN {
+            // Names are given in order: the lowest has been gone longest, or nearly.
+            self.gone.pop_first();
+        }
+        self.gone.insert(id);
         let tasks: Vec<TaskId> = match self.machines.get(&id) {
             Some(m) => m.entries.keys().copied().collect(),
             None => return,
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -113,7 +113,9 @@
         let Some(job) = self.jobs.get(&claim.job).filter(|j| j.waiting() > 0) else { return };
         let (spec, need, mut wanted) = (job.spec.clone(), job.need(), job.waiting());
         let limited = spec.one_zone || spec.spread || self.blame.at_fault_job(claim.job);
-        if limited || self.places.room() == 0 || round.budget == 0 {
+        // Out of touch with the state service no place can be committed: whoever is
+        // stopped now is stopped for nobody.
+        if limited || self.places.room() == 0 || round.budget == 0 || !self.in_touch {
             return;
         }
         let mut making = match round.making.take() {
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -944,6 +944,7 @@
         let woken = self.now >= w.hang_until + lease || w.answered_since(w.hang_until);
         let ill = (w.hang_until > 0 && !woken)
             || self.now < w.cut_until
+            || self.now < w.deaf_until + lease
             || w.sick
             || w.slow > 1.0
             || w.reclaim_at.is_some();
@@ -1085,7 +1086,7 @@
         let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
         let expired = std::mem::take(&mut w.expired);
         self.tally.expired += expired;
-        let ill = self.now < w.hang_until.max(w.cut_until) + lease;
+        let ill = self.now < w.hang_until.max(w.cut_until).max(w.deaf_until) + lease;
         if expired > 0 && !ill && self.now > self.explained_until {
             self.tally.unexplained += expired;
         }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -547,12 +547,12 @@
         outcome.least = sim.served().into_iter().next();
     }
     outcome.settled_s = (sim.now - began) as f64 / 1e6;
+    outcome.stuck = sim.unfinished().into_iter().map(String::from).collect();
     // Every question about an accepted job has its answer by now, or its rule broken.
     while sim.questions_open() {
         sim.run_until(sim.now + 2 * SECOND);
         while sim.due_script().is_some() {}
     }
-    outcome.stuck = sim.unfinished().into_iter().map(String::from).collect();
     if !outcome.stuck.is_empty() {
         outcome
             .wrong
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -406,7 +406,11 @@
         let lost = self.tasks.drain(..).filter(|t| t.status == "running" || t.status == "saving");
         for (piece, attempt) in lost.map(|t| (t.piece, t.attempt)) {
             self.events.push(Event { piece, attempt, what: Happened::Stopped });
+            // Like what a lease ends: no controller stopped it.
+            self.expired += 1;
         }
+        // Away for a moment, which explains the loss.
+        self.hang_until = now;
         self.images.clear();
         self.tenure += 1;
         self.baton = 0;
--- /dev/null
+++ b/crates/suspicion/src/heed.rs
@@ -0,0 +1,82 @@
+//! Whether a machine takes what it is told.
+//!
+//! A link may be broken one way: reports arrive, answers and commands do not. Such
+//! a machine looks empty and sound, and would be given one task after the other,
+//! each of which nobody ever starts.
+
+use beamhinge_vocab::types::Time;
+
+/// The first pause, seconds; each further one is twice as long.
+const PAUSE_S: f64 = 8.0;
+/// The longest: then it is tried again with whatever fits.
+const LONGEST_S: f64 = 64.0;
+/// So many in a row without a trace, and the next try is made elsewhere. One alone
+/// may be an answer that came too late.
+const SURE: u32 = 2;
+
+/// What became of the commands that went to one machine.
+#[derive(Clone, Debug, Default)]
+pub struct Heed {
+    /// Answers in a row whose commands left no trace in the next report.
+    missed: u32,
+    since: Time,
+    until: Time,
+}
+
+impl Heed {
+    /// A command's trace was seen: answers arrive.
+    pub fn arrived(&mut self) {
+        self.missed = 0;
+    }
+
+    /// A newer report shows no trace of what the last answer commanded. `timed_out`:
+    /// the worker was without that answer for so long that it went to the next
+    /// controller meanwhile. Returns whether its tasks should be tried elsewhere.
+    pub fn missed(&mut self, now: Time, timed_out: bool) -> bool {
+        if self.missed == 0 {
+            self.since = now;
+        }
+        self.missed = (self.missed + 1).max(if timed_out { SURE } else { 1 });
+        let sure = self.missed >= SURE;
+        if sure {
+            let times = 2f64.powi((self.missed - SURE).min(10) as i32);
+            self.until = now.plus((PAUSE_S * times).min(LONGEST_S));
+        }
+        sure
+    }
+
+    /// It is left alone for now.
+    pub fn deaf(&self, now: Time) -> bool {
+        self.missed >= SURE && now < self.until
+    }
+
+    /// For how long nothing has arrived there, seconds; none when all did.
+    pub fn deaf_s(&self, now: Time) -> Option<f64> {
+        (self.missed >= SURE).then(|| now.since(self.since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_deaf_machine_is_tried_ever_more_seldom_and_one_late_answer_costs_nothing() {
+        let at = |s: f64| Time::default().plus(50.0 + s);
+        let mut h = Heed::default();
+        assert!(!h.missed(at(0.0), false) && !h.deaf(at(0.1)), "one answer was late");
+        h.arrived();
+        assert!(!h.missed(at(5.0), false) && h.missed(at(6.0), false));
+        assert!(h.deaf(at(13.9)) && !h.deaf(at(14.1)));
+        assert_eq!(h.deaf_s(at(15.0)), Some(10.0));
+        let mut now = 20.0;
+        for pause in [16.0, 32.0, 64.0, 64.0] {
+            assert!(h.missed(at(now), false));
+            assert!(h.deaf(at(now + pause - 0.1)) && !h.deaf(at(now + pause + 0.1)));
+            now += pause + 5.0;
+        }
+        h.arrived();
+        assert!(!h.deaf(at(now)) && h.deaf_s(at(now)).is_none());
+        assert!(h.missed(at(now), true), "it went to another controller meanwhile");
+    }
+}
--- a/crates/suspicion/src/lib.rs
+++ b/crates/suspicion/src/lib.rs
@@ -12,6 +12,7 @@
 mod blame;
 mod groups;
 mod hearsay;
+mod heed;
 mod presence;
 mod rhythm;
 mod stall;
@@ -19,6 +20,7 @@
 pub use blame::{Blame, Verdict};
 pub use groups::{Bounds, Finding, Group, Link, Look, Seen, Suspicion};
 pub use hearsay::{Hearsay, Visitors};
+pub use heed::Heed;
 pub use presence::Presence;
 pub use rhythm::Rhythm;
 pub use stall::{Stall, Work};
