Deaf machines are found before they get anything: two timely reports in a row; what roams says nothing of our link

Cause (scenario deaf_zone, simulated): a machine that takes no answers goes round all controllers and is heard here each 15 s, in that moment it looked usable; peers heard it too, so the lead went round, and a holder with nothing left but such machines freed it.

--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -171,7 +171,7 @@
         for (id, i) in &mut self.instances {
             let m = place.machine(*id);
             let heard = m.and_then(|m| m.heard);
-            let was_up = i.was_up(m);
+            let (was_up, roams) = (i.was_up(m), m.is_some_and(|m| m.roams(now)));
             // It reports again: the return is called off while it can be.
             if i.release == Release::Silent && heard.is_some_and(|h| now.since(h) < limit_s / 2.0) {
                 tracing::info!("{id} reports again and is kept");
@@ -202,6 +202,7 @@
                 quiet_s,
                 elsewhere_s: senses.elsewhere.since(now, *id),
                 unlisted: i.missing >= 2,
+                roams,
             });
         }
         seen
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -152,6 +152,12 @@
     refuses_until: Time,
     /// Whether it takes what it is told.
     pub heed: Heed,
+    /// Its last report came in time after the one before. Where answers do not
+    /// arrive, a worker goes round all controllers and comes here ever so seldom: it is
+    /// heard just now, and gone again before the next.
+    steady: bool,
+    /// It reported again without our token, though an answer with it had gone out.
+    astray: bool,
     pub sick: bool,
     /// Run times here over those expected, and how many tell so.
     pace: (f64, u32),
@@ -214,6 +220,8 @@
             idle_since: now,
             refuses_until: Time::default(),
             heed: Heed::default(),
+            steady: true,
+            astray: false,
             sick: false,
             pace: (1.0, 0),
             slow: false,
@@ -222,6 +230,11 @@
     pub fn is_empty(&self) -> bool {
         self.ghosts.is_empty() && self.entries.is_empty()
     }
+    /// Its reports come and our answers do not arrive: it goes from controller to
+    /// controller.
+    pub fn roams(&self, now: Time) -> bool {
+        self.astray || self.heed.deaf_s(now).is_some()
+    }
     pub fn shape(&self) -> Option<usize> {
         self.shape
     }
@@ -562,10 +575,14 @@
     pub fn hearing(&self, now: Time) -> (u32, u32) {
         let patience = self.report_s * 2.5 + 2.0;
         let (mut heard, mut silent) = (0, 0);
-        for m in self.machines.values().filter(|m| !m.is_empty()) {
+        let there = |m: &Machine| {
+            !m.ghosts.is_empty() || m.entries.values().any(Entry::may_be_there)
+        };
+        for m in self.machines.values().filter(|m| !m.roams(now)) {
             match m.heard.unwrap_or(self.took) {
-                at if now.since(at) <= patience => heard += 1,
-                _ => silent += 1,
+                at if now.since(at) <= patience => heard += u32::from(m.heard.is_some()),
+                // What was never sent there tells nothing.
+                _ => silent += u32::from(there(m)),
             }
         }
         (heard, silent)
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -9,6 +9,8 @@
     pub shape: usize,
     pub free: Need,
     used: bool,
+    /// Nothing sent there left a trace lately: one task is enough to try it.
+    doubtful: bool,
 }
 
 /// One round of planning: what is free, and what each team uses.
@@ -225,7 +227,11 @@
             }
             if let Some(shape) = m.shape.filter(|_| free.cpus > EPSILON && self.usable(now, m)) {
                 round.widest = round.widest.max(free.cpus);
-                round.rooms.push(Room { id: *id, shape, free, used: !m.is_empty() });
+                let doubtful = m.heed.deaf_s(now).is_some();
+                if doubtful && !m.is_empty() {
+                    continue;
+                }
+                round.rooms.push(Room { id: *id, shape, free, used: !m.is_empty(), doubtful });
             }
         }
         round
@@ -242,7 +248,7 @@
         let all = [
             (m.drain.is_some(), Hindrance::Drained),
             (m.draining, Hindrance::Leaving),
-            (!alive, Hindrance::Silent),
+            (!alive || !m.steady, Hindrance::Silent),
             (!m.synced, Hindrance::Unsynced),
             (m.reclaim, Hindrance::Taken),
             (m.sick, Hindrance::Sick),
@@ -587,7 +593,9 @@
             .collect();
         fits.sort_by(|(a, ka), (b, kb)| {
             let size = |i: &usize| shapes.get(round.rooms[*i].shape).map_or(0.0, |s| s.cpus);
-            size(a).total_cmp(&size(b)).then(ka.cmp(kb))
+            let doubtful = |i: &usize| round.rooms[*i].doubtful;
+            let sure = doubtful(a).cmp(&doubtful(b));
+            sure.then(size(a).total_cmp(&size(b))).then(ka.cmp(kb))
         });
         let mut placed = 0;
         for (i, _) in fits {
@@ -604,6 +612,10 @@
                 }
                 placed += 1;
                 round.rooms[i].used = true;
+                if round.rooms[i].doubtful {
+                    round.rooms[i].free = Need::default();
+                    break;
+                }
                 round.rooms[i].free.sub(&need);
             }
         }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -64,14 +64,18 @@
         if m.last.is_some_and(|l| l >= moment) {
             return Vec::new();
         }
+        m.astray = !ours && m.answered.is_some_and(|at| now.since(at) > PATIENCE_S);
         m.answered = Some(now);
         let newer_tenure = m.last.is_some_and(|l| l.tenure < moment.tenure);
         m.last = Some(moment);
+        // Reports that waited while we stood still tell nothing of the worker's way.
+        let away = self.back_at.is_some_and(|at| now.since(at) < PATIENCE_S * 2.5);
         let gap_s = m.heard.map_or(0.0, |before| now.since(before));
         if m.heard.is_some() && !newer_tenure {
             self.rhythm.heard(gap_s);
         }
         m.heard = Some(now);
+        m.steady = away || gap_s <= self.report_s * 2.0 + 1.0;
         m.shape = shapes.iter().position(|s| s.label == report.shape);
         m.zone.clone_from(&report.yard);
         m.spot = report.loaners;
@@ -89,8 +93,6 @@
         if !self.loaded {
             return Vec::new();
         }
-        // Reports that waited while we stood still tell nothing of the worker's way.
-        let away = self.back_at.is_some_and(|at| now.since(at) < PATIENCE_S * 2.5);
         let timed_out = !away && gap_s > PATIENCE_S.max(self.report_s * 1.4);
         let newer = Newer { moment, tenure: newer_tenure, ours, timed_out };
         self.take_in(now, id, newer, report);
@@ -567,6 +569,13 @@
                 self.machines.remove(&id);
                 continue;
             }
+            // What went out just before and was never seen: where the report after the
+            // next session comes again, nothing arrived.
+            if let Some(m) = self.machines.get_mut(&id) {
+                if m.entries.values().any(|e| matches!(e.state, State::Sent(_))) {
+                    m.heed.missed(now, true);
+                }
+            }
             let tasks: Vec<TaskId> = match self.machines.get(&id) {
                 Some(m) => m
                     .entries
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -188,6 +188,8 @@
     pub copies: (f64, Us, Us),
     /// When the last trouble ended: from then on every question has an answer.
     pub healed: Option<Us>,
+    /// Users who ask about this job are told nothing: for the check of that rule.
+    pub untold: Option<String>,
     /// Jobs about which a question is open since then.
     asked: BTreeMap<String, Us>,
     /// How much longer the state service takes, and until when.
@@ -257,6 +259,7 @@
             frozen: vec![0; n],
             copies: (0.0, 0, 0),
             healed: None,
+            untold: None,
             asked: BTreeMap::new(),
             state_slow: (1.0, 0),
             explained_until: 0,
@@ -859,6 +862,9 @@
     }
 
     fn user_answered(&mut self, job: String, what: What, since: Us, status: u16, body: &[u8]) {
+        if what == What::Poll && self.untold.as_ref() == Some(&job) {
+            return self.retry(job, what, since, 1.0);
+        }
         let value = decode(body);
         let state = value["status"].as_str().unwrap_or("").to_string();
         let total = self.jobs.get(&job).and_then(|j| j.body["pieces"].as_u64()).unwrap_or(0);
--- a/crates/suspicion/src/groups.rs
+++ b/crates/suspicion/src/groups.rs
@@ -28,6 +28,9 @@
     pub elsewhere_s: Option<f64>,
     /// The cloud's list no longer names it, though it must if it were there.
     pub unlisted: bool,
+    /// It takes no answers and tries one controller after the other: that peers hear
+    /// it says nothing of our own link.
+    pub roams: bool,
 }
 
 /// What is concluded of one machine.
@@ -161,7 +164,7 @@
                 true => link.overdue += 1,
                 false => link.heard += 1,
             }
-            link.elsewhere += u32::from(overdue && elsewhere);
+            link.elsewhere += u32::from(overdue && elsewhere && !s.roams);
             let of = [&mut all, groups.entry(Group::Zone(s.zone)).or_default()];
             for c in of {
                 c.known += 1;
@@ -276,6 +279,7 @@
                 quiet_s: quiet(i),
                 elsewhere_s: None,
                 unlisted: false,
+                roams: false,
             })
             .collect()
     }
@@ -397,6 +401,10 @@
         let mut all = fleet(100, |i| if i < 3 { 20.0 } else { 1.0 });
         all.iter_mut().take(3).for_each(|m| m.elsewhere_s = Some(1.0));
         assert!(!s.look(at(9.0), OVERDUE_S, &all).link.better_elsewhere());
+        // Those that are answered by nobody go round all controllers.
+        let mut all = fleet(100, |_| 20.0);
+        all.iter_mut().for_each(|m| (m.elsewhere_s, m.roams) = (Some(1.0), true));
+        assert!(!s.look(at(9.5), OVERDUE_S, &all).link.better_elsewhere());
         // An old word is none.
         let mut all = fleet(4, |_| 20.0);
         all.iter_mut().for_each(|m| m.elsewhere_s = Some(9.0));
