A flood of guests' submissions starves nobody: ends by urgency, intake in turns, best effort refused at once

Now ends go by urgency and deadline where there are too many; while placing waits, a holder's intake gets 0.3 of its writes; the more urgent are taken in first, best effort in small steps of which one flies, and from 48 waiting on it is refused at once, Retry-After 4 s.

--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -23,6 +23,13 @@
 const MOST_COMMAND: usize = 2_048;
 /// Requests that may wait here; beyond it users are told to come back.
 const WAITING_LIMIT: usize = 400;
+/// Submissions of best-effort work that may wait: more would not be written in the
+/// time that their users wait, and are told at once to come back.
+const MOST_PATIENT: usize = 48;
+/// When their users come back, seconds: at once again they would only ask more.
+const PATIENT_AFTER_S: u32 = 4;
+/// Transactions that take jobs in, at the same time.
+const MOST_FLYING: usize = 3;
 /// Jobs that one transaction accepts.
 const MOST_ACCEPTS: usize = 8;
 /// A poll's client waits two seconds: no answer of ours takes longer.
@@ -310,8 +317,21 @@
             Verdict::Possible => {
                 match self.accepts.get_mut(&id) {
                     Some(a) => a.requests.push(to),
+                    None if spec.urgency == Urgency::BestEffort
+                        && self.order.len() >= MOST_PATIENT =>
+                    {
+                        let body = problem("too many best-effort submissions wait");
+                        let retry_after = Some(PATIENT_AFTER_S);
+                        return out.push(Out::Answer { to, status: 503, retry_after, body });
+                    }
                     None => {
-                        self.order.push_back(id);
+                        // The more urgent first: thousands of guests' jobs must not keep
+                        // out the others.
+                        let before = |o: &JobId| {
+                            self.accepts.get(o).is_some_and(|a| a.spec.urgency < spec.urgency)
+                        };
+                        let at = self.order.iter().position(before).unwrap_or(self.order.len());
+                        self.order.insert(at, id);
                         self.accepts.insert(
                             id,
                             Accept {
@@ -507,16 +527,25 @@
     }
 
     fn send_accepts(&mut self, now: Time, ledger: &mut Ledger<Tag>, out: &mut Vec<Out>) {
-        while self.accepts_flying < 3 {
+        while self.accepts_flying < MOST_FLYING {
             let mut txn = ledger.txn();
             let mut ids = Vec::new();
+            // Best effort goes alone and in small steps, so that what is more urgent
+            // never waits behind more than one of them.
+            let front = self.order.iter().find_map(|id| self.accepts.get(id).filter(|a| !a.flying));
+            let patient = front.is_some_and(|a| a.spec.urgency == Urgency::BestEffort);
+            if patient && self.accepts_flying > 0 {
+                return;
+            }
+            let most = if patient { MOST_ACCEPTS / 2 } else { MOST_ACCEPTS };
             while let Some(id) = self.order.front().copied() {
                 let Some(a) = self.accepts.get_mut(&id).filter(|a| !a.flying) else {
                     self.order.pop_front();
                     continue;
                 };
                 // One that is refused takes the others with it: few at a time.
-                if txn.writes() >= MOST_ACCEPTS {
+                let other = patient != (a.spec.urgency == Urgency::BestEffort);
+                if txn.writes() >= most || other {
                     break;
                 }
                 let value = jobs::open_record(&a.spec);
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -136,6 +136,8 @@
 pub struct Ledger<T> {
     requests: Bucket,
     writes: Bucket,
+    /// Writes that take jobs in, while others wait.
+    accepts: Bucket,
     full: (f64, f64),
     limits: Limits,
     queues: [VecDeque<Queued<T>>; PRIORITIES],
@@ -150,6 +152,7 @@
         Ledger {
             requests: Bucket { rate: s.rps, level: 0.0, at: Time::default() },
             writes: Bucket { rate: s.write_rps, level: 0.0, at: Time::default() },
+            accepts: Bucket { rate: s.write_rps, level: 0.0, at: Time::default() },
             full: (s.rps, s.write_rps),
             limits: Limits::of(s),
             queues: Default::default(),
@@ -160,9 +163,13 @@
     }
 
     /// The limits hold for all controllers together; this is our part of them.
-    pub fn set_share(&mut self, share: f64) {
+    /// `accepts`: the part of its writes that taking jobs in may use while others
+    /// wait. A holder that took in whatever came wrote nothing else: what had ended
+    /// was told minutes later.
+    pub fn set_share(&mut self, share: f64, accepts: f64) {
         self.requests.rate = (self.full.0 * share).max(2.0);
         self.writes.rate = (self.full.1 * share).max(2.0);
+        self.accepts.rate = (self.writes.rate * accepts).max(1.0);
     }
 
     /// What one transaction may hold and still ever be sent.
@@ -241,7 +248,10 @@
     pub fn pump(&mut self, now: Time, next_call: &mut u64, out: &mut Vec<Out>) {
         self.requests.fill(now);
         self.writes.fill(now);
+        self.accepts.fill(now);
+        let others_wait = !self.queues[Priority::Place as usize].is_empty();
         for p in 0..PRIORITIES {
+            let accepting = p == Priority::Accept as usize;
             while let Some(front) = self.queues[p].front() {
                 let waited = now.since(front.since);
                 let reserve = p as f64 * 0.05;
@@ -250,6 +260,9 @@
                     && (puts == 0.0
                         || self.writes.level
                             >= (puts + reserve * self.writes.rate).min(self.writes.rate * 0.99));
+                // Below a transaction's worth the bucket lends: it pays later.
+                let turn = !(accepting && puts > 0.0 && others_wait) || self.accepts.level > 0.0;
+                let fits = fits && turn;
                 if !fits && waited <= PATIENCE_S {
                     break;
                 }
@@ -260,6 +273,9 @@
                 }
                 self.requests.level -= 1.0;
                 self.writes.level -= puts;
+                if accepting {
+                    self.accepts.level = (self.accepts.level - puts).max(-self.accepts.rate);
+                }
                 *next_call += 1;
                 let id = CallId(*next_call);
                 self.flying.insert(id, (op.tag, now));
@@ -334,7 +350,7 @@
         let settings = beamhinge_vocab::settings::SAMPLE;
         let settings = Settings::parse("t", settings).expect("sound");
         let mut ledger: Ledger<u32> = Ledger::new(&settings);
-        ledger.set_share(0.1);
+        ledger.set_share(0.1, 1.0);
         let (mut calls, mut out) = (0, Vec::new());
         let start = Time::from_micros(10_000_000);
         for i in 0..30 {
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -117,7 +117,7 @@
             Desk::new(guard, Limits { waiting: d.waiting, rps: d.rps })
         });
         let mut ledger = Ledger::new(&settings);
-        ledger.set_share(follower_share(&settings));
+        ledger.set_share(follower_share(&settings), 1.0);
         Node {
             ledger,
             book: JobBook::default(),
@@ -415,7 +415,7 @@
             Standing::Lost => {
                 self.place = None;
                 self.fleet.end_term();
-                self.ledger.set_share(follower_share(&self.settings));
+                self.ledger.set_share(follower_share(&self.settings), 1.0);
             }
             Standing::Took { token } => {
                 let mut chronicle = Chronicle::new(self.desk.is_some());
@@ -441,7 +441,7 @@
                 if let (Some(place), true) = (&mut self.place, stuck) {
                     place.begin_small();
                 }
-                self.ledger.set_share(holder_share(&self.settings));
+                self.ledger.set_share(holder_share(&self.settings), HOLDER_ACCEPTS);
                 self.nudged.clear();
                 self.peers.sent = Time::default();
                 self.book.want_refresh();
@@ -916,6 +916,10 @@
     }
 }
 
+/// Part of a holder's writes for taking jobs in, while placing and ends wait: each job
+/// taken in costs it one more write when it ends, and its tasks a row.
+const HOLDER_ACCEPTS: f64 = 0.3;
+
 fn follower_share(settings: &Settings) -> f64 {
     0.35 / settings.members.len().max(1) as f64
 }
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -2,6 +2,7 @@
 //! transactions that change them.
 
 use super::*;
+use std::cmp::Reverse;
 
 /// How often progress is written. What ended since is still listed by its
 /// worker, so a takeover in between loses nothing.
@@ -291,8 +292,17 @@
     /// cancelled the job meanwhile.
     fn add_finals(&mut self, txn: &mut Txn, few: bool, flying: &mut Flying) {
         let most = if few { txn.writes_left() } else { txn.writes_left() / 2 };
-        let due: Vec<JobId> =
+        let mut due: Vec<JobId> =
             self.complete.iter().filter(|id| !self.resting(Part::Job(**id))).copied().collect();
+        // Where more end than can be written, those are told first whose users wait
+        // for something: by their ids, urgent work with a deadline was told minutes
+        // late behind thousands of guests' single tasks.
+        if due.len() > most {
+            due.sort_by_key(|id| {
+                let spec = self.jobs.get(id).map(|j| &j.spec);
+                Reverse(spec.map(|s| (s.urgency, s.due_s.is_some(), Reverse(s.submitted))))
+            });
+        }
         for id in due {
             if flying.finals.len() >= most {
                 return;
