--- /dev/null
+++ b/crates/shares/src/lib.rs
@@ -0,0 +1,20 @@
+//! Shares of the machines: which controller holds which of them.
+//!
+//! Machines fall into a fixed number of slots by a hash of their names, so that a
+//! machine never changes its slot. Each slot has a key of its own in the state
+//! service; the revision of the transaction that last wrote it is the slot's token.
+//! Slots move between controllers while jobs run; what a task may use, and where
+//! it may start, is kept by conditions on the keys of both sides.
+//!
+//! Sans-IO: what was read and answered goes in, transactions to be written come
+//! out. Nothing in the service uses this yet; `docs/shares.md` says what is missing.
+
+mod budget;
+mod hold;
+mod slots;
+mod wanted;
+
+pub use budget::Budget;
+pub use hold::{Entry, Name, Outcome, Shares, Write};
+pub use slots::{Slot, Slots};
+pub use wanted::{Bounds, Member, Move, Wanted};
