Nothing is kept for a largest job that its team's limit keeps from beginning

Found by reading the change again: a machine reserved for it would have stood idle for as long as the limit is used up.

--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -152,7 +152,15 @@
         let mut round = self.round(now, settings, shapes);
         let guaranteed = self.guaranteed();
         let order = self.order(now, wall, &round, &guaranteed);
-        let begins: Vec<JobId> = order.iter().filter(|w| w.begins).map(|w| w.id).collect();
+        // Where its team's limit is in its way no room helps: kept for it, a machine
+        // would stand idle for as long.
+        let limited = |id: JobId| {
+            let job = self.jobs.get(&id);
+            let team = job.and_then(|j| Some((self.team(&j.spec)?, j.need())));
+            team.is_some_and(|(t, need)| self.over_limit(round.team_used[t], t, &need).is_some())
+        };
+        let begins = order.iter().filter(|w| w.begins && !limited(w.id));
+        let begins: Vec<JobId> = begins.map(|w| w.id).collect();
         let mut keep = self.risen(now, wall);
         keep.extend(&begins);
         self.keep_reserved(now, shapes, &keep);
