--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -71,9 +71,9 @@
 /// Within so many seconds a class's largest jobs have to begin.
 const BEGIN_S: f64 = 240.0;
 /// Part of that after which a job goes before others of its urgency.
-const BEGIN_PART: f64 = 0.55;
+const BEGIN_PART: f64 = 0.6;
 /// Jobs of this part of their class's largest count among the largest.
-const LARGE: f64 = 0.5;
+const LARGE: f64 = 0.75;
 /// Jobs that make room for themselves in one round.
 const MOST_CLAIMS: usize = 24;
 
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -350,6 +350,7 @@
                     "hang" => w.hang_until = until,
                     "cut-machines" => w.cut_until = until,
                     "deaf" => w.deaf_until = until,
+                    "reboot" if words.contains(&"anew") => w.begin_anew(sim.now),
                     "reboot" => w.reboot(sim.now),
                     "sick" => w.sick = true,
                     _ => w.slow = 4.0,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -418,6 +418,12 @@
         (self.renewed, self.next_report) = (now, now);
     }
 
+    /// As before, and its counts begin anew as well: what it reports looks old.
+    pub fn begin_anew(&mut self, now: Us) {
+        self.reboot(now);
+        (self.tenure, self.tick) = (1, 0);
+    }
+
     /// The machine goes: whatever runs on it ends with it.
     pub fn stop_all(&mut self) -> Vec<Event> {
         self.renewed = 0;
