--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -574,11 +574,11 @@
             // protocol bears begins first, with one task: by urgency and least work
             // alone these would be last for ever. (With all of its tasks it was tried:
             // prairie-fleet `loss` 0.69 to 0.61 and 0.63.)
-            let largest = self.largest.get(&*spec.class).copied().unwrap_or(0.0);
+            let largest = || self.largest.get(&*spec.class).copied().unwrap_or(0.0);
             let begins = age > BEGIN_S * BEGIN_PART
                 && j.live.is_empty()
                 && j.progress.count() == 0
-                && size_of(spec) >= largest * LARGE;
+                && size_of(spec) >= largest() * LARGE;
             // Once the aim on guaranteed work is missed, it waits its turn: what
             // is stopped for it later costs others and meets no aim.
             let within = guaranteed.contains(id);
--- a/crates/suspicion/src/heed.rs
+++ b/crates/suspicion/src/heed.rs
@@ -8,7 +8,7 @@
 
 /// The first pause, seconds; each further one is twice as long.
 const PAUSE_S: f64 = 8.0;
-/// The longest: then it is tried again with whatever fits.
+/// The longest.
 const LONGEST_S: f64 = 64.0;
 /// So many in a row without a trace, and the next try is made elsewhere. One alone
 /// may be an answer that came too late.
