--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -1,9 +1,10 @@
-//! Faults of old, to be put back by tests: a check that cannot find them is none.
+//! Faults of old and guards left out, to be put in by tests: a check that cannot
+//! find them is none.
 //!
-//! Compiled only with the feature `faults`, which the simulator sets; no setting
-//! and no option of the daemon reaches it.
+//! The daemon is built without the feature `faults`, and then [`Faults::put_back`]
+//! does not exist and every question here is answered no; the simulator sets it.
 
-/// Which faults are there again.
+/// Which faults are there again, and which guards of `docs/safety.md` are left out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
     /// A transaction takes more conditions than may be, and when it is refused
@@ -13,4 +14,69 @@
     pub hasty: bool,
     /// Room is made all over the fleet, in CPUs, and kept for nobody.
     pub scattered: bool,
+    /// Guard 4 left out: a holder out of touch answers its workers for ever.
+    pub no_h: bool,
+    /// Guard 4 renewed by what shows the hold alone, not the jobs.
+    pub h_by_hold: bool,
+    /// A cancelled task is stopped only once the books are read and its worker has
+    /// shown our token; until then answers renew its lease.
+    pub late_stops: bool,
+    /// Guard 3 left out: absence is proof before the worker has shown our token.
+    pub hasty_proof: bool,
+    /// Guard 3 left out: silence after a takeover counts from our own answers alone.
+    pub own_silence: bool,
+    /// Guard 3 left out: reports that are not newer are taken like those that are.
+    pub old_reports: bool,
+    /// Guard 1 left out of placements: they do not rest on the block.
+    pub no_block: bool,
+    /// A take of ours whose answer was lost is never looked for.
+    pub own_lead: bool,
+    /// A stop whose `run` was lost stays in the books.
+    pub stuck_stop: bool,
+    /// Questions are answered from a copy older than they are.
+    pub stale_answers: bool,
+    /// A state service that refuses counts as one that is not heard at all.
+    pub refused_is_cut: bool,
+    /// A result is cleared on its machine before the state service knows it.
+    pub early_clear: bool,
 }
+
+/// A switch's name in scenario files, and the switch.
+type Named = (&'static str, fn(&mut Faults) -> &mut bool);
+
+const NAMES: [Named; 15] = [
+    ("unbounded", |f| &mut f.unbounded),
+    ("hasty", |f| &mut f.hasty),
+    ("scattered", |f| &mut f.scattered),
+    ("no_h", |f| &mut f.no_h),
+    ("h_by_hold", |f| &mut f.h_by_hold),
+    ("late_stops", |f| &mut f.late_stops),
+    ("hasty_proof", |f| &mut f.hasty_proof),
+    ("own_silence", |f| &mut f.own_silence),
+    ("old_reports", |f| &mut f.old_reports),
+    ("no_block", |f| &mut f.no_block),
+    ("own_lead", |f| &mut f.own_lead),
+    ("stuck_stop", |f| &mut f.stuck_stop),
+    ("stale_answers", |f| &mut f.stale_answers),
+    ("refused_is_cut", |f| &mut f.refused_is_cut),
+    ("early_clear", |f| &mut f.early_clear),
+];
+
+impl Faults {
+    /// One of them, by its name.
+    pub fn named(name: &str) -> Option<Faults> {
+        let (_, which) = NAMES.iter().find(|(n, _)| *n == name)?;
+        let mut faults = Faults::default();
+        *which(&mut faults) = true;
+        Some(faults)
+    }
+}
+
+/// Whether a fault is put in. Without the feature it is none, and the question
+/// costs nothing.
+macro_rules! broken {
+    ($faults:expr, $which:ident) => {
+        cfg!(feature = "faults") && $faults.$which
+    };
+}
+pub(crate) use broken;
--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -5,6 +5,7 @@
 //! waits for a copy newer than the question, or is answered 503 at once.
 
 use crate::calls::{IntakeCall, Tag};
+use crate::faults::{broken, Faults};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::ledger::{Committed, Full, Ledger, Outcome, Priority, Reply};
 use crate::mirror::Freshness;
@@ -214,6 +215,8 @@
     accepts_flying: usize,
     /// What the holder last told us of jobs' progress; for display only.
     pub shown: BTreeMap<JobId, Counts>,
+    /// What tests put in.
+    pub faults: Faults,
 }
 
 pub trait Context {
@@ -402,7 +405,8 @@
         let mut left = VecDeque::new();
         while let Some(w) = self.waiters.pop_front() {
             // Only a copy read after the question came can answer it.
-            if fresh.is_none_or(|f| f < w.since) {
+            let stale = fresh.is_none_or(|f| f < w.since);
+            if stale && !broken!(self.faults, stale_answers) {
                 if freshness == Freshness::Failed {
                     Self::busy(out, w.request, "the state service cannot be reached");
                 } else {
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -7,6 +7,7 @@
 //! else really takes over.
 
 use crate::calls::{LeadCall, Tag};
+use crate::faults::{broken, Faults};
 use crate::ledger::{Committed, Full, Ledger, News, Outcome, Permit, Priority, Reply, Scan};
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Stamp, Time, Token};
@@ -61,6 +62,8 @@
     stand_back: Time,
     /// The lead as it was when its holder was found gone: it may be taken.
     presumed: Option<Stamp>,
+    /// What tests put in.
+    pub faults: Faults,
 }
 
 impl Leader {
@@ -86,6 +89,7 @@
             retry_at: Time::default(),
             stand_back: Time::default(),
             presumed: None,
+            faults: Faults::default(),
         }
     }
 
@@ -235,6 +239,14 @@
         };
         let Some(permit) = self.permit else { return };
         if !free {
+            // Guard 1: our own name without a token is a take of ours whose answer was
+            // lost, carried out late. Nobody else takes the lead while we renew its
+            // lease, and we took it for somebody's: nobody led for as long as we lived.
+            let ours = self.lead.as_ref().is_some_and(|(n, _)| *n == self.me);
+            let unknown = self.token.is_none() && self.block.is_none() && !self.block_flying;
+            if ours && unknown && !broken!(self.faults, own_lead) {
+                self.read_block(now, ledger);
+            }
             return;
         }
         if let Some(token) = self.token {
@@ -251,16 +263,7 @@
             return;
         }
         match &self.block {
-            None if !self.block_flying => {
-                self.block_flying = true;
-                ledger.scan(
-                    now,
-                    Priority::Lease,
-                    Tag::Lead(LeadCall::ReadBlock),
-                    BLOCK_PREFIX,
-                    None,
-                );
-            }
+            None if !self.block_flying => self.read_block(now, ledger),
             Some((_, block_stamp)) => {
                 self.taking = true;
                 let mut txn = ledger.txn();
@@ -277,6 +280,12 @@
         }
     }
 
+    fn read_block(&mut self, now: Time, ledger: &mut Ledger<Tag>) {
+        self.block_flying = true;
+        let tag = Tag::Lead(LeadCall::ReadBlock);
+        ledger.scan(now, Priority::Lease, tag, BLOCK_PREFIX, None);
+    }
+
     pub fn on_reply(
         &mut self,
         now: Time,
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -144,6 +144,7 @@
     flying: BTreeMap<CallId, (T, Time)>,
     refused: Vec<Reply<T>>,
     last_ok: Option<Time>,
+    last_answer: Option<Time>,
 }
 
 impl<T> Ledger<T> {
@@ -159,6 +160,7 @@
             flying: BTreeMap::new(),
             refused: Vec::new(),
             last_ok: None,
+            last_answer: None,
         }
     }
 
@@ -301,6 +303,12 @@
         self.last_ok
     }
 
+    /// When the newest request was sent that the service answered at all, if only to
+    /// refuse it.
+    pub fn last_answer(&self) -> Option<Time> {
+        self.last_answer
+    }
+
     pub fn is_ours(&self, id: CallId) -> bool {
         self.flying.contains_key(&id)
     }
@@ -310,6 +318,9 @@
         if matches!(&result, Some((200 | 404 | 409 | 410 | 429, _))) {
             self.last_ok = self.last_ok.max(Some(sent));
         }
+        if result.is_some() {
+            self.last_answer = self.last_answer.max(Some(sent));
+        }
         let outcome = match result {
             None => Outcome::Lost,
             Some((200, body)) => Outcome::Ok(body),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod chronicle;
 pub mod desk;
 pub mod directives;
-#[cfg(feature = "faults")]
 pub mod faults;
 pub mod fleet;
 pub mod intake;
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -7,6 +7,7 @@
 use crate::chronicle::Chronicle;
 use crate::desk::{Desk, Limits};
 use crate::directives::Directives;
+use crate::faults::{broken, Faults};
 use crate::fleet::{Fleet, Senses, WORD_S};
 use crate::intake::{self, Context, Intake};
 use crate::jobs::JobBook;
@@ -96,8 +97,7 @@
     measured: Time,
     /// Time of day at the last event.
     wall: WallMs,
-    #[cfg(feature = "faults")]
-    faults: crate::faults::Faults,
+    faults: Faults,
 }
 
 mod operators;
@@ -144,8 +144,7 @@
             desk,
             measured: Time::default(),
             wall: WallMs::default(),
-            #[cfg(feature = "faults")]
-            faults: crate::faults::Faults::default(),
+            faults: Faults::default(),
             settings,
             operator,
         }
@@ -153,9 +152,11 @@
 
     /// Puts faults of old back; for tests that must find them.
     #[cfg(feature = "faults")]
-    pub fn put_back(&mut self, faults: crate::faults::Faults) {
+    pub fn put_back(&mut self, faults: Faults) {
         self.faults = faults;
         self.fleet.put_back(faults);
+        self.leader.faults = faults;
+        self.intake.faults = faults;
     }
 
     pub fn is_holder(&self) -> bool {
@@ -232,9 +233,15 @@
 
     /// Neither the state service nor any peer is heard from here: it is more likely
     /// that we are cut off than that all of them are gone. Users who stay at such a
-    /// controller are told nothing for as long as that lasts.
+    /// controller are told nothing for as long as that lasts. A service that refuses is
+    /// heard: in an outage in which connections between controllers were refused as
+    /// well, all said so of themselves, and the load balancer was left with none, for
+    /// longer than either lasted.
     fn cut_off(&self, now: Time) -> bool {
-        !self.settings.members.is_empty()
+        let refused = self.ledger.last_answer().is_some_and(|t| now.since(t) < 2.5);
+        let refused = refused && !broken!(self.faults, refused_is_cut);
+        !refused
+            && !self.settings.members.is_empty()
             && now.since(self.started) > 5.0
             && self.peers.silent_s(now).is_none_or(|s| s > 2.5)
     }
@@ -313,6 +320,12 @@
     /// hold on the block, we stop answering workers.
     fn entitled(&self, now: Time) -> bool {
         let limit = self.settings.answer_limit_s();
+        if broken!(self.faults, no_h) {
+            return self.place.is_some();
+        }
+        if broken!(self.faults, h_by_hold) {
+            return self.place.is_some() && now.since(self.leader.checked()) < limit;
+        }
         let seen = self.book.fresh().is_some_and(|jobs| now.since(jobs) < limit);
         self.place.is_some() && seen && now.since(self.leader.checked()) < limit
     }
@@ -429,10 +442,8 @@
                 let ageing = Policy::new(self.operator.ageing);
                 let place = Placement::new(&self.settings, token, standing, chronicle, ageing, now);
                 self.place = Some(place);
-                #[cfg(feature = "faults")]
                 if let Some(place) = &mut self.place {
-                    place.unbounded = self.faults.unbounded;
-                    place.scattered = self.faults.scattered;
+                    place.faults = self.faults;
                 }
                 self.fleet.begin_term(now, token, &self.operator, &self.settings);
                 self.elsewhere = Hearsay::default();
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -239,14 +239,14 @@
             return;
         }
         let limits = ledger.limits().part(self.course.part());
-        #[cfg(feature = "faults")]
-        let limits = match self.unbounded {
+        let limits = match broken!(self.faults, unbounded) {
             true => beamhinge_limits::Limits { conditions: limits.conditions * 2, ..limits },
             false => limits,
         };
         let mut txn = Txn::new(limits);
         // Guard 1: whoever lost the block can commit nothing.
-        if txn.when(BLOCK, Stamp(self.token.0)).is_err() {
+        let rests = broken!(self.faults, no_block) || txn.when(BLOCK, Stamp(self.token.0)).is_ok();
+        if !rests {
             return;
         }
         self.aside.retain(|_, until| *until > now);
@@ -545,8 +545,7 @@
             // The same again would be refused again: less of it is tried, and
             // in the end what it holds is set aside.
             Outcome::Malformed => {
-                #[cfg(feature = "faults")]
-                if self.unbounded {
+                if broken!(self.faults, unbounded) {
                     self.not_committed(now, flying);
                     return Verdict::Fine;
                 }
@@ -727,8 +726,50 @@
         Ok(())
     }
 
+    /// Guard 1, and the one condition that every write has: on the block as we took it,
+    /// and on each key that it changes.
+    fn rests(body: &[u8]) -> Result<(), String> {
+        let txn: serde_json::Value = wire::decode::<ciborium::Value>(body)
+            .ok()
+            .and_then(|v| v.deserialized().ok())
+            .ok_or("not CBOR")?;
+        let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+        let when = list("when");
+        let on = |key: &serde_json::Value| when.iter().find(|w| w["path"] == *key);
+        if on(&json!(BLOCK)).is_none_or(|w| w["stamp"] != 9) {
+            return Err("does not rest on the block".into());
+        }
+        let keys = list("then").into_iter().map(|t| match t["write"].is_null() {
+            true => t["delete"].clone(),
+            false => t["write"].clone(),
+        });
+        match keys.into_iter().find(|key| on(key).is_none()) {
+            Some(key) => Err(format!("{key} is changed without a condition on it")),
+            None => Ok(()),
+        }
+    }
+
+    /// A transaction of a former holder that is carried out late places nothing.
+    #[test]
+    fn every_transaction_rests_on_the_block() {
+        let b = Backlog { placed: vec![3; 9], ended: vec![2; 5], dead: 9, digits: 6, malformed: 0 };
+        assert!(work_off(&b, 8, 8.0).is_ok());
+        let without = Faults { no_block: true, ..Faults::default() };
+        let found = work_off_with(&b, 8, 8.0, without);
+        assert_eq!(found, Err("does not rest on the block".into()));
+    }
+
     /// Plays the state service until nothing is left to write.
     fn work_off(b: &Backlog, txn_ops: usize, value_kb: f64) -> Result<u32, String> {
+        work_off_with(b, txn_ops, value_kb, Faults::default())
+    }
+
+    fn work_off_with(
+        b: &Backlog,
+        txn_ops: usize,
+        value_kb: f64,
+        faults: Faults,
+    ) -> Result<u32, String> {
         let mut settings =
             Settings::parse("t", beamhinge_vocab::settings::SAMPLE).expect("the sample is sound");
         settings.params.state.txn_ops = txn_ops;
@@ -746,6 +787,7 @@
             now,
         );
         place.loaded = true;
+        place.faults = faults;
         fill(&mut place, b, now);
         let (mut book, mut calls, mut rev) = (JobBook::default(), 0, 100);
         let mut refuse = b.malformed;
@@ -757,6 +799,7 @@
             for o in out {
                 let Out::Call { id, body, .. } = o else { continue };
                 within(&body, limits)?;
+                rests(&body)?;
                 rev += 1;
                 let reply = if refuse > 0 {
                     refuse -= 1;
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -9,6 +9,7 @@
 use crate::calls::{PlaceCall, Tag};
 use crate::chronicle::Chronicle;
 use crate::directives::Standing;
+use crate::faults::{broken, Faults};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::leader::BLOCK;
 use crate::ledger::{Committed, Full, Item, Ledger, Outcome, Priority, Reply, Scan, Txn};
@@ -467,12 +468,8 @@
     strangers: Option<(Time, usize, String)>,
     /// How long reports usually stay away.
     rhythm: Rhythm,
-    /// The fault of old that a transaction takes more than may be.
-    #[cfg(feature = "faults")]
-    pub unbounded: bool,
-    /// The fault of old that room is made all over the fleet, for nobody.
-    #[cfg(feature = "faults")]
-    pub scattered: bool,
+    /// What tests put in.
+    pub faults: Faults,
     planned_at: Time,
     silence_at: Time,
     replan: bool,
@@ -541,10 +538,7 @@
             moved: now,
             strangers: None,
             rhythm: Rhythm::new(w.report_s),
-            #[cfg(feature = "faults")]
-            unbounded: false,
-            #[cfg(feature = "faults")]
-            scattered: false,
+            faults: Faults::default(),
             planned_at: Time::default(),
             silence_at: Time::default(),
             replan: true,
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -107,7 +107,7 @@
         guaranteed: &BTreeSet<JobId>,
     ) {
         #[cfg(feature = "faults")]
-        if self.scattered {
+        if self.faults.scattered {
             return self.scatter(now, round, claim);
         }
         let Some(job) = self.jobs.get(&claim.job).filter(|j| j.waiting() > 0) else { return };
--- a/crates/controller/tests/scenarios.rs
+++ b/crates/controller/tests/scenarios.rs
@@ -1,12 +1,36 @@
 //! All scenarios: the files in `tests/scenarios/`, played by the one runner.
 
+use beamhinge_controller::faults::Faults;
 use beamhinge_sim::scenario;
 use libtest_mimic::{Arguments, Failed, Trial};
 use std::path::Path;
+use std::sync::Arc;
 
-fn run(path: &Path) -> Result<(), Failed> {
-    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
-    let outcome = scenario::play(&text, Default::default()).map_err(|e| e.to_string())?;
+/// With a guard left out, the scenario must break what its line says: a rule, or
+/// (`fails`) any expectation. A test that no fault can fail is none.
+fn run_without(text: &str, guard: &str, what: &str) -> Result<(), Failed> {
+    let faults = Faults::named(guard).ok_or_else(|| format!("no guard is called '{guard}'"))?;
+    let outcome = scenario::play(text, faults).map_err(|e| e.to_string())?;
+    let found = match what {
+        "fails" => !outcome.wrong.is_empty(),
+        rule => outcome.violations.iter().any(|v| v == rule),
+    };
+    match found {
+        true => Ok(()),
+        false => Err(format!("without {guard} it should show {what}: {:?}", outcome.wrong).into()),
+    }
+}
+
+/// `without GUARD RULE` lines of a file.
+fn withouts(text: &str) -> Vec<(String, String)> {
+    let words = text.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
+    let without = words.filter(|w| w.first() == Some(&"without"));
+    let word = |w: &[&str], i: usize| w.get(i).map_or(String::new(), |w| (*w).to_string());
+    without.map(|w| (word(&w, 1), word(&w, 2))).collect()
+}
+
+fn run(text: &str) -> Result<(), Failed> {
+    let outcome = scenario::play(text, Default::default()).map_err(|e| e.to_string())?;
     match outcome.wrong.is_empty() {
         true => Ok(()),
         false => Err(outcome.wrong.join("\n").into()),
@@ -29,13 +53,16 @@
         .collect();
     files.sort();
     assert!(files.len() >= 20, "the scenarios are there");
-    let trials = files
-        .into_iter()
-        .map(|path| {
-            let name =
-                path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
-            Trial::test(name, move || run(&path))
-        })
-        .collect();
+    let mut trials = Vec::new();
+    for path in files {
+        let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+        let text = Arc::new(std::fs::read_to_string(&path).expect("a scenario's text"));
+        for (guard, what) in withouts(&text) {
+            let text = text.clone();
+            let name = format!("{name}_without_{guard}");
+            trials.push(Trial::test(name, move || run_without(&text, &guard, &what)));
+        }
+        trials.push(Trial::test(name, move || run(&text)));
+    }
     libtest_mimic::run(&args, trials).exit();
 }
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -113,6 +113,7 @@
     Crash(usize),
     Start(usize),
     Script(usize),
+    Armed(Vec<String>),
 }
 
 /// A request at an operators' door, asked again while it is told to come back.
@@ -127,6 +128,13 @@
     pub tries: u32,
 }
 
+/// A line of the script that is due.
+pub enum Due {
+    Line(usize),
+    /// One that waited for something to happen.
+    Armed(Vec<String>),
+}
+
 enum Caller {
     User { job: String, what: What, since: Us },
     Worker { machine: u64, serial: u64 },
@@ -183,6 +191,13 @@
     pub zone_cuts: BTreeMap<String, (Us, bool)>,
     /// Controllers that stand still while their clocks run on.
     pub frozen: Vec<Us>,
+    /// What is done when something happens next: what that is, how long after it, and
+    /// the action.
+    pub armed: Vec<(String, Us, Vec<String>)>,
+    /// The block's key as it was last seen.
+    block: Option<serde_json::Value>,
+    /// Who is asked by the next user that sends something.
+    pub asks_at: Option<usize>,
     /// Part of the messages of which a copy comes late, by how much at most, and
     /// until when. Requests that were carried out are repeated likewise.
     pub copies: (f64, Us, Us),
@@ -257,6 +272,9 @@
             cuts: BTreeMap::new(),
             zone_cuts: BTreeMap::new(),
             frozen: vec![0; n],
+            armed: Vec::new(),
+            block: None,
+            asks_at: None,
             copies: (0.0, 0, 0),
             healed: None,
             untold: None,
@@ -398,7 +416,7 @@
             self.queue.pop();
             self.now = self.now.max(at);
             if let Some(event) = self.events.remove(&seq) {
-                if let Event::Script(_) = event {
+                if let Event::Script(_) | Event::Armed(_) = event {
                     self.push(self.now, event);
                     return;
                 }
@@ -457,15 +475,27 @@
     }
 
     /// Where `run_until` stopped for the script, the line that is due.
-    pub fn due_script(&mut self) -> Option<usize> {
+    pub fn due_script(&mut self) -> Option<Due> {
         let Reverse((at, seq)) = self.queue.peek().copied()?;
-        if at <= self.now && matches!(self.events.get(&seq), Some(Event::Script(_))) {
-            self.queue.pop();
-            if let Some(Event::Script(line)) = self.events.remove(&seq) {
-                return Some(line);
-            }
+        let script = matches!(self.events.get(&seq), Some(Event::Script(_) | Event::Armed(_)));
+        if at > self.now || !script {
+            return None;
+        }
+        self.queue.pop();
+        match self.events.remove(&seq)? {
+            Event::Script(line) => Some(Due::Line(line)),
+            Event::Armed(words) => Some(Due::Armed(words)),
+            _ => None,
+        }
+    }
+
+    /// What waited for this happens.
+    fn happened(&mut self, what: &str) {
+        let (due, left): (Vec<_>, Vec<_>) = self.armed.drain(..).partition(|(w, ..)| w == what);
+        self.armed = left;
+        for (_, after, words) in due {
+            self.push(self.now + after, Event::Armed(words));
         }
-        None
     }
 
     /// When a copy of what is sent now arrives, if one is made.
@@ -633,7 +663,8 @@
                 }
             }
             Event::ToState { node, life, call, method, path, body, quiet } => {
-                let refused = self.cut(node, "refused");
+                let jobs = self.cut(node, "jobs") && path.contains("under=j/");
+                let refused = jobs || self.cut(node, "refused");
                 let reply = if refused {
                     if path.starts_with("/watch") {
                         return;
@@ -654,6 +685,11 @@
                 if self.doubles.forgets_jobs {
                     self.state.forget_jobs(self.now);
                 }
+                let block = self.state.get("block/0");
+                if block != self.block.as_ref() {
+                    self.block = block.cloned();
+                    self.happened("take");
+                }
                 self.watch_at(self.now);
             }
             Event::Watch => {
@@ -661,7 +697,10 @@
                     return;
                 }
                 self.next_watch = Us::MAX;
-                let (ready, next) = self.state.watches(self.now);
+                let cut = |what| (0..self.nodes.len()).map(|i| self.cut(i, what)).collect();
+                let (all, jobs): (Vec<bool>, Vec<bool>) = (cut("refused"), cut("jobs"));
+                let held = |i: usize, under: &str| all[i] || jobs[i] && under == "j/";
+                let (ready, next) = self.state.watches(self.now, held);
                 for ((node, life, call), body) in ready {
                     if let Some(at) = self.passes(node, Far::State, self.now + 2_000) {
                         let reply = Some((200, body));
@@ -718,11 +757,16 @@
                 if self.now < w.cut_until.max(w.deaf_until) {
                     return;
                 }
+                let before = w.token();
                 let again = w.answered(self.now, serial, status, &body, n, &self.jobs, doubles);
+                let heard = w.token() > before;
                 if let Some(at) = again {
                     self.push(at, Event::Report { machine });
                 }
                 self.push(self.now, Event::WorkerStep { machine });
+                if heard {
+                    self.happened("heard");
+                }
             }
             Event::ReportTimedOut { machine, serial } => {
                 let n = self.nodes.len();
@@ -763,7 +807,7 @@
             Event::OperatorAsks(q) => self.operator_asks(q),
             Event::Crash(i) => self.crash(i),
             Event::Start(i) => self.start(i),
-            Event::Script(_) => {}
+            Event::Script(_) | Event::Armed(_) => {}
         }
     }
 
@@ -845,7 +889,8 @@
         if up.is_empty() {
             return self.retry(job, what, since, 1.0);
         }
-        let node = up[self.rng.gen_range(0..up.len())];
+        let any = up[self.rng.gen_range(0..up.len())];
+        let node = self.asks_at.take().filter(|n| up.contains(n)).unwrap_or(any);
         if self.healed.is_some() {
             self.asked.entry(job.clone()).or_insert(self.now);
         }
@@ -890,7 +935,12 @@
             self.asked.remove(&job);
         }
         let told = self.told.entry(job.clone()).or_default();
+        let before = told.cancelled;
         let (broken, next) = told.answered(now, what, status, &state, done >= total);
+        let cancelled = told.cancelled != before;
+        if cancelled {
+            self.happened("cancelled");
+        }
         for rule in broken {
             self.break_rule(rule, &job);
         }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -9,7 +9,7 @@
 //! was rented is given back within [`IDLE_S`] more. A file whose point is that
 //! this cannot be says `unsettled REASON`.
 
-use crate::cluster::{Event, Question, Sim, Tally};
+use crate::cluster::{Due, Event, Question, Sim, Tally};
 use beamhinge_controller::faults::Faults;
 use beamhinge_standins::cloud::Kind;
 use beamhinge_standins::user::What;
@@ -185,7 +185,11 @@
     match arg(0)? {
         "submit" => submit(sim, &words[1..])?,
         what @ ("poll" | "cancel" | "again") => {
+            // poll JOB [on=NODE]
             let job = arg(1)?.to_string();
+            if let Some(on) = option(words, "on") {
+                sim.asks_at = Some(node(sim, on)?);
+            }
             let what = match what {
                 "poll" => What::Poll,
                 "again" => What::Submit,
@@ -238,8 +242,9 @@
         }
         "start-all" => (0..sim.settings.len()).for_each(|i| sim.start(i)),
         "cut" => {
-            // cut WHO WHAT SECONDS; WHAT: state, refused, workers, peers, cloud, all, or
-            // but-workers: the state service and the other controllers
+            // cut WHO WHAT SECONDS; WHAT: state, refused, workers, peers, cloud, all,
+            // but-workers: the state service and the other controllers, or jobs: what is
+            // refused is to read those
             let i = node(sim, arg(1)?)?;
             let until = sim.now + seconds(arg(3)?)?;
             let all = ["state", "workers", "peers", "cloud"];
@@ -250,6 +255,9 @@
             };
             for w in what {
                 sim.cuts.insert((i, w.to_string()), (until, words.contains(&"hold")));
+                if w == "refused" || w == "jobs" {
+                    sim.watch_at(until);
+                }
             }
             if matches!(arg(2)?, "workers" | "all") {
                 sim.tally.cut_off += sim.up(None);
@@ -300,6 +308,17 @@
             let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
             sim.storm = (number(words, "factor", 8.0)?, until);
         }
+        "when" => {
+            // when WHAT SECONDS ACTION: so long after it happens next; WHAT: take, the
+            // block's key changes; cancelled, a user is told so; heard, a worker takes
+            // its first answer with a new token.
+            let what = arg(1)?.to_string();
+            if !["take", "cancelled", "heard"].contains(&what.as_str()) {
+                return Err(format!("when '{what}'?").into());
+            }
+            let action = words[3..].iter().map(|w| (*w).to_string()).collect();
+            sim.armed.push((what, seconds(arg(2)?)?, action));
+        }
         "state-down" => {
             let until = sim.now + seconds(arg(1)?)?;
             sim.state.outage(until);
@@ -470,6 +489,8 @@
             "pages" => plant_pages(&mut sim, get("pages", 0.0) as u64),
             "untold" => sim.untold = w.get(1).map(|j| (*j).to_string()),
             "unsettled" => settles = false,
+            // Looked at by the runner of the files.
+            "without" => {}
             "settle" => {}
             "nodes" | "seed" | "team-max" | "teams" | "spot" | "ordinary" | "large" | "owned"
             | "workers" | "state" | "cloud" | "boot" | "ageing" | "polls" => {}
@@ -479,7 +500,10 @@
     loop {
         sim.run_until(START + end);
         match sim.due_script() {
-            Some(line) => act(&mut sim, actions[line])?,
+            Some(Due::Line(line)) => act(&mut sim, actions[line])?,
+            Some(Due::Armed(words)) => {
+                act(&mut sim, &words.iter().map(String::as_str).collect::<Vec<_>>())?;
+            }
             None if sim.now >= START + end => break,
             None => {}
         }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -206,7 +206,7 @@
     }
 
     fn answer_watches(&mut self, now: Us, out: &mut Vec<Out>) {
-        let (ready, _) = self.state.watches(now);
+        let (ready, _) = self.state.watches(now, |_, _| false);
         for (to, body) in ready {
             out.push(Out::Answer { to: called(to), status: 200, retry_after: None, body });
         }
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -284,8 +284,13 @@
         Some(wire::encode(&json!({"ledgerRev": self.rev, "news": news})))
     }
 
-    /// Watches that can be answered, and when the next one runs out.
-    pub fn watches(&mut self, now: Us) -> (Vec<(Caller, Vec<u8>)>, Option<Us>) {
+    /// Watches that can be answered, and when the next one runs out. Those of a node
+    /// that is refused (`held`) wait as in an outage.
+    pub fn watches(
+        &mut self,
+        now: Us,
+        held: impl Fn(usize, &str) -> bool,
+    ) -> (Vec<(Caller, Vec<u8>)>, Option<Us>) {
         self.expire(now);
         if now < self.down_until {
             return (Vec::new(), Some(self.down_until));
@@ -293,13 +298,18 @@
         let mut ready = Vec::new();
         let waiting = std::mem::take(&mut self.waiting);
         for (caller, under, since, until) in waiting {
+            if held(caller.0, &under) {
+                self.waiting.push((caller, under, since, until));
+                continue;
+            }
             match self.news(&under, since, now >= until) {
                 Some(body) => ready.push((caller, body)),
                 None => self.waiting.push((caller, under, since, until)),
             }
         }
         let leases = self.leases.values().map(|(ends, _)| ends + 1_000);
-        let next = self.waiting.iter().map(|w| w.3).chain(leases).min();
+        let open = self.waiting.iter().filter(|w| !held(w.0 .0, &w.1));
+        let next = open.map(|w| w.3).chain(leases).min();
         (ready, next)
     }
 
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -151,6 +151,11 @@
             "reclaimInS": reclaim, "pieces": pieces, "surprise": {"a": [1, null]}})
     }
 
+    /// The highest token it has seen.
+    pub fn token(&self) -> u64 {
+        self.baton
+    }
+
     /// Whether a controller has answered a report that was sent later than this.
     pub fn answered_since(&self, at: Us) -> bool {
         self.renewed > at
