--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -63,11 +63,13 @@
 ];
 
 impl Faults {
-    /// One of them, by its name.
-    pub fn named(name: &str) -> Option<Faults> {
-        let (_, which) = NAMES.iter().find(|(n, _)| *n == name)?;
+    /// One of them by its name, or several: `one+another`.
+    pub fn named(names: &str) -> Option<Faults> {
         let mut faults = Faults::default();
-        *which(&mut faults) = true;
+        for name in names.split('+') {
+            let (_, which) = NAMES.iter().find(|(n, _)| *n == name)?;
+            *which(&mut faults) = true;
+        }
         Some(faults)
     }
 }
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -62,6 +62,10 @@
     stand_back: Time,
     /// The lead as it was when its holder was found gone: it may be taken.
     presumed: Option<Stamp>,
+    /// The highest token that others were said to have seen, when it ended our term.
+    claimed: u64,
+    /// No token is as high as this.
+    nonsense: u64,
     /// What tests put in.
     pub faults: Faults,
 }
@@ -89,6 +93,8 @@
             retry_at: Time::default(),
             stand_back: Time::default(),
             presumed: None,
+            claimed: 0,
+            nonsense: u64::MAX,
             faults: Faults::default(),
         }
     }
@@ -125,6 +131,19 @@
         Standing::Lost
     }
 
+    /// Somebody says that a token has been seen. A higher one ends our term, unless it
+    /// is none: a token is a revision, and one that was claimed before we took the block
+    /// at a lower revision was never given out. A single worker that made one up ended
+    /// each term a second after it began. (That we go on breaks nothing: whoever has
+    /// really seen a higher token drops what we say.)
+    pub fn claims(&mut self, now: Time, token: u64) -> Standing {
+        if self.token.is_none_or(|ours| token <= ours.0) || token >= self.nonsense {
+            return Standing::Same;
+        }
+        self.claimed = token;
+        self.deposed(now)
+    }
+
     /// Gives the lead up because others can do more with it: the lease ends at
     /// once, and we hold back long enough for another to take over.
     pub fn step_back(&mut self, now: Time, ledger: &mut Ledger<Tag>) -> Standing {
@@ -459,6 +478,11 @@
 
     fn took(&mut self, stamp: Stamp, sent: Time) -> Standing {
         let token = Token(stamp.0);
+        if self.claimed > token.0 {
+            tracing::error!("token {} was claimed, and none is so high", self.claimed);
+            self.nonsense = self.nonsense.min(self.claimed);
+        }
+        self.claimed = 0;
         self.token = Some(token);
         self.checked = sent;
         self.block = None;
@@ -466,3 +490,29 @@
         Standing::Took { token }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Each report of one worker, with a token near the end of what there can be, ended
+    /// a term.
+    #[test]
+    fn a_token_that_was_never_given_ends_one_term_and_no_more() {
+        let text = beamhinge_vocab::settings::SAMPLE;
+        let settings = Settings::parse("t", text).expect("the sample is sound");
+        let mut leader = Leader::new(&settings, 7);
+        let now = Time::from_micros(10_000_000);
+        leader.took(Stamp(8), now);
+        assert_eq!(leader.claims(now, 8), Standing::Same);
+        assert_eq!(leader.claims(now, u64::MAX - 1), Standing::Lost);
+        leader.took(Stamp(12), now);
+        assert_eq!(leader.claims(now, u64::MAX - 1), Standing::Same);
+        assert_eq!(leader.claims(now, u64::MAX), Standing::Same);
+        // A token that may be one ends the term still.
+        assert_eq!(leader.claims(now, 15), Standing::Lost);
+        leader.took(Stamp(17), now);
+        assert_eq!((leader.claims(now, 15), leader.token()), (Standing::Same, Some(Token(17))));
+        assert_eq!(leader.claims(now, 19), Standing::Lost);
+    }
+}
--- a/crates/controller/src/mirror.rs
+++ b/crates/controller/src/mirror.rs
@@ -225,7 +225,9 @@
                 // Changes during the scan come again with the watch, which
                 // starts from the revision of the first page.
                 let rev = scan.rev.unwrap_or(page.rev);
-                self.rev = self.rev.max(rev);
+                // Also where it is lower than what we had: a revision that the service
+                // never gave out would have all that follows taken for old.
+                self.rev = rev;
                 self.fresh = Some(scan.started);
                 self.loaded = true;
                 self.scan = None;
@@ -278,6 +280,23 @@
         assert_eq!(take(&mut m, MirrorCall::Wait, newer), [("o/zone/a".to_string(), true)]);
     }
 
+    /// Guards against a copy that calls itself fresh and takes in nothing: a watch from
+    /// a revision that the service never gave out is refused, and the scan's counts.
+    #[test]
+    fn a_revision_that_was_never_given_out_is_forgotten() {
+        let mut m = mirror();
+        (m.loaded, m.rev) = (true, u64::MAX - 1);
+        let at = Time::from_micros(1_000_000);
+        let refused =
+            Reply { tag: Tag::Directives(MirrorCall::Now), outcome: Outcome::Malformed, sent: at };
+        let update = m.on_reply(at, MirrorCall::Now, refused);
+        assert!(update.freshness == Freshness::Failed && !m.loaded());
+        m.scan = Some(ScanState { flying: true, after: None, rev: None, started: at });
+        take(&mut m, MirrorCall::Scan, json!({"pairs": [], "more": false, "ledgerRev": 3}));
+        let news = json!({"ledgerRev": 5, "news": [{"write": "o/zone/a", "value": 1, "stamp": 5}]});
+        assert_eq!(take(&mut m, MirrorCall::Now, news), [("o/zone/a".to_string(), true)]);
+    }
+
     /// A copy that could not be read was asked for five times a second, as long
     /// as the service was away.
     #[test]
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -277,9 +277,10 @@
         };
         // Guard 1: a worker that has seen a higher token answers to somebody
         // else; we are no longer entitled.
+        let standing = self.leader.claims(now, report.baton);
+        self.on_standing(now, standing);
         if self.leader.token().is_some_and(|t| report.baton > t.0) {
-            let standing = self.leader.deposed(now);
-            self.on_standing(now, standing);
+            return refuse(out, id, 503, "a token that was never given");
         }
         let entitled = self.entitled(now);
         match (&mut self.place, entitled) {
@@ -499,10 +500,8 @@
                 self.vigil.word(now, &label);
                 self.peers.holds(now, &label, Token(token));
                 // Guard 1: a higher token was taken, so ours is over.
-                if self.leader.token().is_some_and(|t| token > t.0) {
-                    let standing = self.leader.deposed(now);
-                    self.on_standing(now, standing);
-                }
+                let standing = self.leader.claims(now, token);
+                self.on_standing(now, standing);
             }
         }
     }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -391,7 +391,10 @@
         shapes: &[Shape],
         book: &JobBook,
     ) -> Vec<Order> {
-        let mut orders = Vec::new();
+        // Before all else: guard 4 rests on it.
+        let mut orders = self.stops_at_once(report, book);
+        let mut told: BTreeSet<(String, u64)> =
+            orders.iter().map(|o| (o.piece.clone(), o.attempt)).collect();
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         if let Some(notice) = report.reclaim_in_s {
             // A task that can save does so before the machine is taken, unless
@@ -408,8 +411,11 @@
                 }
             }
         }
-        for (task, attempt) in m.ghosts.iter().take(MOST_ORDERS) {
-            orders.push(order("kill", *task, *attempt, Some(0.0)));
+        for (task, attempt) in &m.ghosts {
+            let stop = order("kill", *task, *attempt, Some(0.0));
+            if orders.len() < MOST_ORDERS && told.insert((stop.piece.clone(), stop.attempt)) {
+                orders.push(stop);
+            }
         }
         for p in report.pieces.iter().filter(|p| p.status == "exited") {
             if orders.len() >= MOST_ORDERS {
@@ -426,8 +432,12 @@
         self.stops.remove(&id);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in m.entries.iter().filter(|(_, e)| e.kill.is_some()) {
-            if orders.len() < MOST_ORDERS && matches!(e.state, State::Seen(_)) {
-                orders.push(order("kill", *task, e.attempt, e.kill));
+            let stop = order("kill", *task, e.attempt, e.kill);
+            if orders.len() < MOST_ORDERS
+                && matches!(e.state, State::Seen(_))
+                && told.insert((stop.piece.clone(), stop.attempt))
+            {
+                orders.push(stop);
             }
         }
         // What was placed into room that was there goes first, then what others
