--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -20,6 +20,8 @@
 const STAND_BACK_S: f64 = 8.0;
 /// After a take that the state service calls malformed; others may do better.
 const MALFORMED_S: f64 = 5.0;
+/// No store comes so far in a thousand years of a hundred changes a second.
+const MOST_TOKEN: u64 = 1 << 43;
 pub const BLOCK: &str = "block/0";
 const BLOCK_PREFIX: &str = "block/";
 
@@ -486,6 +488,12 @@
 
     fn took(&mut self, stamp: Stamp, sent: Time) -> Standing {
         let token = Token(stamp.0);
+        // Attempts count from the token shifted: beyond this they would come again.
+        if token.0 >= MOST_TOKEN {
+            tracing::error!("the state service's revision {} is too high to lead with", token.0);
+            self.retry_at = sent.plus(MALFORMED_S);
+            return Standing::Same;
+        }
         if self.claimed > token.0 {
             tracing::error!("token {} was claimed, and none is so high", self.claimed);
             self.nonsense = self.nonsense.min(self.claimed);
@@ -519,6 +527,8 @@
         assert_eq!(leader.claims(now, u64::MAX), Standing::Same);
         // A token that may be one ends the term still.
         assert_eq!(leader.claims(now, 15), Standing::Lost);
+        assert_eq!(leader.took(Stamp(u64::MAX - 3), now), Standing::Same);
+        assert_eq!(leader.token(), None, "its attempts would come again");
         leader.took(Stamp(17), now);
         assert_eq!((leader.claims(now, 15), leader.token()), (Standing::Same, Some(Token(17))));
         assert_eq!(leader.claims(now, 19), Standing::Lost);
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -4,6 +4,10 @@
 use beamhinge_vocab::peers::Frame;
 use beamhinge_vocab::types::{JobId, Time, Token};
 
+/// After so long without a word a token counts no more, seconds: longer than a former
+/// holder goes on answering.
+const LAPSED_S: f64 = 90.0;
+
 /// What we last heard from each peer.
 #[derive(Default)]
 pub struct Peers {
@@ -45,8 +49,12 @@
         Some((now.since(*at), age + now.since(*at), ready, drained))
     }
 
+    /// A word of a lower token than one heard before is a former holder's; but one that
+    /// nobody has repeated for so long was none. A token that was made up kept all real
+    /// holders from being named.
     pub fn holds(&mut self, now: Time, label: &str, token: Token) {
-        if self.holder.as_ref().is_none_or(|(_, t, _)| *t <= token) {
+        let lapsed = |at: &Time| now.since(*at) > LAPSED_S;
+        if self.holder.as_ref().is_none_or(|(_, t, at)| *t <= token || lapsed(at)) {
             self.holder = Some((label.to_string(), token, now));
         }
     }
@@ -83,3 +91,22 @@
             .collect(),
     )
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_token_that_was_made_up_is_forgotten_and_a_former_holder_is_not_named() {
+        let mut peers = Peers::default();
+        let at = |s: f64| Time::from_micros(1_000_000_000).plus(s);
+        peers.holds(at(0.0), "a", Token(7));
+        peers.holds(at(0.5), "b", Token(5));
+        assert_eq!(peers.holder(at(1.0)), Some("a"));
+        peers.holds(at(2.0), "b", Token(u64::MAX));
+        peers.holds(at(4.0), "a", Token(9));
+        assert_eq!(peers.holder(at(6.0)), None);
+        peers.holds(at(2.0 + LAPSED_S + 0.1), "a", Token(9));
+        assert_eq!(peers.holder(at(3.0 + LAPSED_S)), Some("a"));
+    }
+}
--- a/crates/sim/src/meetings.rs
+++ b/crates/sim/src/meetings.rs
@@ -85,6 +85,16 @@
         let confirmed = at + self.between(0.0, between + 0.5);
         self.cancels(confirmed, 6);
         let mut ends = at + between + down;
+        if self.rng.gen_bool(0.3) {
+            // Whoever takes the lead ends before it has read the pages, and the next
+            // one's state service goes as it takes.
+            let back = self.between(2.0, 9.0);
+            let (ends_at, goes) = (self.of(&[0.002, 0.004, 0.3]), self.of(&[0.002, 0.004, 0.008]));
+            self.line(at + 0.3, &format!("when take {ends_at} crash-all"));
+            self.line(at + back + 3.0, "start-all");
+            self.line(at + back, &format!("when take {goes} state-down {down:.1}"));
+            return at + back + 8.0 + down;
+        }
         match self.rng.gen_range(0..3) {
             0 => self.line(at, &format!("when take {} state-down {down:.1}", between * 0.1)),
             1 => self.line(at, &format!("when cancelled 0.01 state-down {down:.1}")),
@@ -117,7 +127,8 @@
         let (lease, long) = (self.lease, self.lease * self.between(0.3, 2.5));
         let hold = self.of(&["", " hold"]);
         let who = self.who();
-        match self.rng.gen_range(0..15) {
+        match self.rng.gen_range(0..16) {
+            15 => self.at(at, "jobs", &format!("cut leader jobs {long:.1}")),
             0 => self.at(at, "refused", &format!("cut {who} refused {long:.1}")),
             1 => self.at(at, "cut_state", &format!("cut {who} state {long:.1}{hold}")),
             2 => self.at(at, "but_workers", &format!("cut {who} but-workers {long:.1}{hold}")),
@@ -249,6 +260,6 @@
         assert_ne!(a.text, draw(3, 6, (6.0, 40.0)).text);
         let days = (0..200).flat_map(|n| draw(9, n, (6.0, 40.0)).troubles);
         let kinds: BTreeMap<&str, u32> = days.collect();
-        assert_eq!(kinds.len(), 18, "{kinds:?}");
+        assert_eq!(kinds.len(), 19, "{kinds:?}");
     }
 }
