--- /dev/null
+++ b/crates/sim/tests/hold_model.rs
@@ -0,0 +1,491 @@
+//! A model of hold, take, cancel, silence and proof, with time in coarse steps, since
+//! H and leases are the point. Two small worlds, each looked through completely:
+//! every order of what two controllers, the state service, a worker and a user do.
+//!
+//! It is not the slices themselves: `Leader`, the mirror and `Placement` count time in
+//! microseconds and names in strings, and no two of their states are alike, so that a
+//! search would never come back to one it knows. The scenarios drive the slices; the
+//! model says that the rules they follow are enough, and with which of them left out
+//! they are not. Planted defects must be found.
+
+use std::collections::{HashSet, VecDeque};
+use std::hash::Hash;
+
+/// Steps that a lease lasts, that a holder answers after its last exchange, and in
+/// which a cancelled task must be gone. H + LEASE < CANCEL, with one step of margin.
+const LEASE: u8 = 3;
+const H: u8 = 2;
+const CANCEL: u8 = 6;
+/// Steps after which the reply of an exchange is lost, and a report or its answer.
+const REPLY: u8 = 2;
+const LATE: u8 = 1;
+/// Takes that there are.
+const TOKENS: u8 = 3;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Defects {
+    /// No H at all.
+    no_h: bool,
+    /// H counted from the coming of the reply.
+    h_from_reply: bool,
+    /// H renewed by what shows the hold, however old the jobs are.
+    h_by_hold: bool,
+    /// Stops only with the pages read and our token shown.
+    late_stops: bool,
+    /// Absence counts without our token.
+    proof_before_token: bool,
+    /// Silence after a take counts from our own answers alone.
+    own_silence: bool,
+    /// A report that is not newer counts.
+    old_reports: bool,
+    /// A lower tenure counts as another, and so as newer.
+    lower_tenure: bool,
+    /// A stop that was sent counts as an end.
+    stop_is_end: bool,
+    /// Placements do not rest on the block.
+    no_block: bool,
+}
+
+fn older(age: u8, most: u8) -> u8 {
+    (age + 1).min(most + 1)
+}
+
+/// Looks through all that can follow; the number of states, or one that breaks a rule
+/// with the way to it.
+fn explore<W: Clone + Eq + Hash>(
+    begin: W,
+    next: impl Fn(&W) -> Vec<(&'static str, W)>,
+    broken: impl Fn(&W) -> bool,
+) -> Result<usize, Vec<&'static str>> {
+    let mut seen: HashSet<W> = HashSet::from([begin.clone()]);
+    let mut ways: Vec<(usize, &'static str)> = vec![(0, "")];
+    let mut queue = VecDeque::from([(begin, 0)]);
+    while let Some((world, at)) = queue.pop_front() {
+        for (what, then) in next(&world) {
+            if broken(&then) {
+                let mut way = vec![what];
+                let mut back = at;
+                while back > 0 {
+                    way.push(ways[back].1);
+                    back = ways[back].0;
+                }
+                way.reverse();
+                return Err(way);
+            }
+            if seen.insert(then.clone()) {
+                ways.push((at, what));
+                queue.push_back((then, ways.len() - 1));
+            }
+        }
+        assert!(seen.len() < 4_000_000, "the world is too large to be looked through");
+    }
+    Ok(seen.len())
+}
+
+// ---- the gap: hold, cancellation, stops and leases ----
+
+/// A task runs on a worker; its job is cancelled, and the lead may move.
+mod gap {
+    use super::*;
+
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+    struct Controller {
+        token: u8,
+        /// Since the sending of the last exchange that showed the hold, and the jobs.
+        hold: u8,
+        jobs: u8,
+        knows: bool,
+        read: bool,
+    }
+
+    #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+    pub struct World {
+        block: u8,
+        /// Since the last take.
+        taken: u8,
+        /// Since the user was told.
+        cancelled: Option<u8>,
+        controllers: [Controller; 2],
+        seen: u8,
+        /// Since the sending of the last answered report.
+        lease: u8,
+        alive: bool,
+        /// An answer on its way: token, whether it stops the task, the report's age.
+        answer: Option<(u8, bool, u8)>,
+    }
+
+    const NOBODY: Controller =
+        Controller { token: 0, hold: H + 1, jobs: H + 1, knows: false, read: false };
+
+    pub fn begin() -> World {
+        World {
+            block: 1,
+            taken: REPLY + 1,
+            cancelled: None,
+            controllers: [Controller { token: 1, hold: 0, jobs: 0, read: true, ..NOBODY }, NOBODY],
+            seen: 1,
+            lease: 0,
+            alive: true,
+            answer: None,
+        }
+    }
+
+    pub fn broken(w: &World) -> bool {
+        w.alive && w.cancelled.is_some_and(|at| at > CANCEL)
+    }
+
+    /// The reply of an exchange that the service handled so long ago, when its request
+    /// was sent. What it shows is as old; with the jobs or without.
+    fn reply(w: &mut World, i: usize, age: u8, jobs: bool, d: Defects) {
+        let known = w.cancelled.is_some_and(|at| at > age);
+        let held = w.controllers[i].token == w.block || w.taken <= age;
+        let counted = if d.h_from_reply { 0 } else { age };
+        let c = &mut w.controllers[i];
+        if jobs {
+            c.jobs = c.jobs.min(counted);
+            c.knows |= known;
+        }
+        match held && c.token > 0 {
+            true => c.hold = c.hold.min(counted),
+            false => *c = Controller { token: 0, hold: H + 1, read: false, ..*c },
+        }
+    }
+
+    pub fn next(w: &World, d: Defects) -> Vec<(&'static str, World)> {
+        let mut out = Vec::new();
+        if !w.alive {
+            return out;
+        }
+        let mut add = |what, change: &dyn Fn(&mut World)| {
+            let mut then = w.clone();
+            change(&mut then);
+            out.push((what, then));
+        };
+        add("time passes", &|w| {
+            w.lease = older(w.lease, LEASE);
+            w.alive &= w.lease <= LEASE;
+            w.taken = older(w.taken, REPLY);
+            w.cancelled = w.cancelled.map(|at| older(at, CANCEL));
+            for c in &mut w.controllers {
+                (c.hold, c.jobs) = (older(c.hold, H), older(c.jobs, H));
+            }
+            w.answer = w.answer.map(|a| (a.0, a.1, a.2 + 1)).filter(|a| a.2 <= LATE);
+        });
+        if w.cancelled.is_none() {
+            add("the user is told: cancelled", &|w| w.cancelled = Some(0));
+        }
+        for i in 0..2 {
+            let c = w.controllers[i];
+            for age in 0..=REPLY {
+                let what = ["an exchange", "a late reply", "a very late reply"];
+                add(what[usize::from(age)], &|w| reply(w, i, age, true, d));
+                if c.token > 0 {
+                    let what = "a reply, of the hold alone";
+                    add(what, &|w| reply(w, i, age, false, d));
+                }
+            }
+            if c.token == 0 && w.block < TOKENS {
+                add("a take", &|w| {
+                    (w.block, w.taken) = (w.block + 1, 0);
+                    let c = &mut w.controllers[i];
+                    (c.token, c.hold, c.read) = (w.block, 0, false);
+                });
+            }
+            if c.token > 0 && !c.read && c.jobs == 0 {
+                add("the pages are read", &|w| w.controllers[i].read = true);
+            }
+            if c.token > 0 {
+                add("it begins anew", &|w| w.controllers[i] = NOBODY);
+            }
+            let fresh = (c.hold <= H && (c.jobs <= H || d.h_by_hold)) || d.no_h;
+            if c.token > 0 && fresh && w.answer.is_none() {
+                let told = c.knows && (!d.late_stops || c.read && w.seen == c.token);
+                add("a report is answered", &|w| w.answer = Some((c.token, told, 0)));
+            }
+        }
+        if let Some((token, stop, age)) = w.answer {
+            add("the answer arrives", &|w| {
+                w.answer = None;
+                if token >= w.seen {
+                    (w.seen, w.lease) = (token, age);
+                    w.alive &= !stop;
+                }
+            });
+            add("the answer is lost", &|w| w.answer = None);
+        }
+        out
+    }
+}
+
+fn gap(d: Defects) -> Result<usize, Vec<&'static str>> {
+    explore(gap::begin(), |w| gap::next(w, d), gap::broken)
+}
+
+#[test]
+fn a_cancelled_task_is_gone_in_time_whoever_holds() {
+    let states = gap(Defects::default()).unwrap_or_else(|way| panic!("{way:#?}"));
+    println!("the gap: {states} states, all of them");
+    assert!(states > 10_000, "{states}");
+}
+
+#[test]
+fn the_gap_s_planted_defects_are_found() {
+    let none = Defects::default();
+    for (name, d) in [
+        ("no H", Defects { no_h: true, ..none }),
+        ("H from the reply", Defects { h_from_reply: true, ..none }),
+        ("H by the hold alone", Defects { h_by_hold: true, ..none }),
+        ("late stops", Defects { late_stops: true, ..none }),
+    ] {
+        let way = gap(d).expect_err(name);
+        println!("{name}: found after {} steps: {way:?}", way.len());
+    }
+}
+
+// ---- proof: what was placed by one holder, and placed again by another ----
+
+/// A placement on a worker is committed, its `run` not yet sent; the lead may move, and
+/// the task may be placed elsewhere once it is known not to be on the worker.
+mod proof {
+    use super::*;
+
+    /// Since a take, as far as it matters.
+    const TOOK: u8 = H + LEASE;
+    /// Reports that there are.
+    const TICKS: u8 = 3;
+    /// Takes that there are, the first among them.
+    const TAKES: u8 = 2;
+
+    type Moment = (u8, u8);
+
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+    enum Entry {
+        Free,
+        Committed,
+        Sent(Moment),
+        /// Listed, or found in a page of an earlier holder.
+        There,
+        Elsewhere,
+    }
+
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+    struct Controller {
+        token: u8,
+        hold: u8,
+        took: u8,
+        entry: Entry,
+        /// Since our last answer to a newer report.
+        answered: u8,
+        /// The worker has shown our token.
+        ever: bool,
+        last: Moment,
+    }
+
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+    struct Report {
+        seen: u8,
+        at: Moment,
+        lists: bool,
+    }
+
+    #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+    pub struct World {
+        block: u8,
+        controllers: [Controller; 2],
+        seen: u8,
+        at: Moment,
+        lease: u8,
+        on: bool,
+        /// How often it was placed elsewhere.
+        elsewhere: u8,
+        /// The one report of which a copy comes at any later time.
+        copy: Option<Report>,
+        /// Token, `run`, `kill`, the session and the age of the report it answers.
+        answer: Option<(u8, bool, bool, u8, u8)>,
+    }
+
+    const NOBODY: Controller = Controller {
+        token: 0,
+        hold: H + 1,
+        took: 0,
+        entry: Entry::Free,
+        answered: LEASE + 1,
+        ever: false,
+        last: (0, 0),
+    };
+
+    pub fn begin() -> World {
+        let holder = Controller {
+            token: 1,
+            hold: 0,
+            took: TOOK + 1,
+            entry: Entry::Committed,
+            ever: true,
+            ..NOBODY
+        };
+        World {
+            block: 1,
+            controllers: [holder, NOBODY],
+            seen: 1,
+            at: (1, 0),
+            lease: 0,
+            on: false,
+            elsewhere: 0,
+            copy: None,
+            answer: None,
+        }
+    }
+
+    /// On the worker and elsewhere at the same time, or on two others.
+    pub fn broken(w: &World) -> bool {
+        w.elsewhere > 1 || w.on && w.elsewhere > 0
+    }
+
+    /// Takes a report in: whether `run` goes with the answer.
+    fn take_in(c: &mut Controller, r: Report, d: Defects) -> bool {
+        let newer =
+            c.last < r.at || d.old_reports || d.lower_tenure && r.at.0 != c.last.0 && c.last.0 > 0;
+        if !newer {
+            return false;
+        }
+        let ours = r.seen == c.token;
+        let session = c.last.0 > 0 && (c.last.0 < r.at.0 || d.lower_tenure && c.last.0 != r.at.0);
+        (c.last, c.answered) = (r.at, 0);
+        c.ever |= ours;
+        c.entry = match c.entry {
+            Entry::Elsewhere => Entry::Elsewhere,
+            _ if r.lists => Entry::There,
+            Entry::Sent(_) if ours && session => Entry::Free,
+            Entry::Sent(at) if ours && r.at > at => Entry::Committed,
+            Entry::There if ours || d.proof_before_token => Entry::Free,
+            other => other,
+        };
+        let run = ours && c.entry == Entry::Committed;
+        if run {
+            c.entry = Entry::Sent(r.at);
+        }
+        run
+    }
+
+    pub fn next(w: &World, d: Defects) -> Vec<(&'static str, World)> {
+        let mut out = Vec::new();
+        let mut add = |what, change: &dyn Fn(&mut World)| {
+            let mut then = w.clone();
+            change(&mut then);
+            out.push((what, then));
+        };
+        add("time passes", &|w| {
+            w.lease = older(w.lease, LEASE);
+            if w.lease > LEASE {
+                (w.on, w.lease, w.at.0) = (false, 0, w.at.0 + 1);
+            }
+            for c in &mut w.controllers {
+                (c.hold, c.took) = (older(c.hold, H), older(c.took, TOOK));
+                c.answered = older(c.answered, LEASE);
+            }
+            let older = |a: (u8, bool, bool, u8, u8)| (a.0, a.1, a.2, a.3, a.4 + 1);
+            w.answer = w.answer.map(older).filter(|a| a.4 <= LATE);
+        });
+        if w.copy.is_none() && w.at.1 < TICKS {
+            add("a report is held up", &|w| {
+                w.at.1 += 1;
+                w.copy = Some(Report { seen: w.seen, at: w.at, lists: w.on });
+            });
+        }
+        for i in 0..2 {
+            let c = w.controllers[i];
+            if c.token > 0 {
+                add("an exchange", &|w| match w.controllers[i].token == w.block {
+                    true => w.controllers[i].hold = 0,
+                    false => w.controllers[i] = NOBODY,
+                });
+                add("it begins anew", &|w| w.controllers[i] = NOBODY);
+            } else if w.block < TAKES {
+                add("a take, and the pages are read", &|w| {
+                    w.block += 1;
+                    let entry = if w.elsewhere > 0 { Entry::Elsewhere } else { Entry::There };
+                    w.controllers[i] = Controller { token: w.block, hold: 0, entry, ..NOBODY };
+                });
+            }
+            let entitled = c.token > 0 && c.hold <= H;
+            if entitled && w.answer.is_none() && w.at.1 < TICKS {
+                for stop in [false, true] {
+                    for kept in [false, w.copy.is_none()] {
+                        let what = ["a report", "a report and a stop"][usize::from(stop)];
+                        add(what, &|w| {
+                            w.at.1 += 1;
+                            let r = Report { seen: w.seen, at: w.at, lists: w.on };
+                            let c = &mut w.controllers[i];
+                            let run = take_in(c, r, d);
+                            let kill = stop && c.entry == Entry::There && r.seen == c.token;
+                            if kill && d.stop_is_end {
+                                c.entry = Entry::Free;
+                            }
+                            w.answer = Some((c.token, run, kill, w.at.0, 0));
+                            if kept {
+                                w.copy = Some(r);
+                            }
+                        });
+                    }
+                }
+            }
+            if let (Some(r), true) = (w.copy, entitled) {
+                add("a copy of a report", &|w| {
+                    take_in(&mut w.controllers[i], r, d);
+                });
+            }
+            let silent = c.answered > LEASE && (c.ever || d.own_silence || c.took > TOOK);
+            // Our own answers have to be long ago, not to be none.
+            let silent = silent && (!d.own_silence || c.ever || c.took > LEASE);
+            if c.token > 0 && silent && matches!(c.entry, Entry::There | Entry::Sent(_)) {
+                add("silence is proof", &|w| w.controllers[i].entry = Entry::Free);
+            }
+            let placed = c.token > 0 && c.entry == Entry::Free;
+            if placed && (c.token == w.block || d.no_block) {
+                add("it is placed elsewhere", &|w| {
+                    w.elsewhere += 1;
+                    w.controllers[i].entry = Entry::Elsewhere;
+                });
+            }
+        }
+        if let Some((token, run, kill, session, age)) = w.answer {
+            add("the answer arrives", &|w| {
+                w.answer = None;
+                if token >= w.seen && session == w.at.0 {
+                    (w.seen, w.lease) = (token, age);
+                    w.on = (w.on || run) && !kill;
+                }
+            });
+            add("the answer is lost", &|w| w.answer = None);
+        }
+        out.retain(|(_, w)| w.at.0 <= 2);
+        out
+    }
+}
+
+fn proof(d: Defects) -> Result<usize, Vec<&'static str>> {
+    explore(proof::begin(), |w| proof::next(w, d), proof::broken)
+}
+
+#[test]
+fn a_task_is_never_on_a_worker_and_elsewhere() {
+    let states = proof(Defects::default()).unwrap_or_else(|way| panic!("{way:#?}"));
+    println!("proof: {states} states, all of them");
+    assert!(states > 10_000, "{states}");
+}
+
+#[test]
+fn the_planted_defects_of_proof_are_found() {
+    let none = Defects::default();
+    for (name, d) in [
+        ("proof before the token", Defects { proof_before_token: true, ..none }),
+        ("own silence", Defects { own_silence: true, ..none }),
+        ("old reports", Defects { old_reports: true, ..none }),
+        ("a lower tenure", Defects { lower_tenure: true, ..none }),
+        ("a stop for an end", Defects { stop_is_end: true, ..none }),
+        ("no block", Defects { no_block: true, ..none }),
+    ] {
+        let way = proof(d).expect_err(name);
+        println!("{name}: found after {} steps: {way:?}", way.len());
+    }
+}
