--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -498,6 +498,10 @@
             tracing::error!("token {} was claimed, and none is so high", self.claimed);
             self.nonsense = self.nonsense.min(self.claimed);
         }
+        if token.0 >= self.nonsense {
+            // Revisions have come so far by now.
+            self.nonsense = u64::MAX;
+        }
         self.claimed = 0;
         self.token = Some(token);
         self.checked = sent;
@@ -532,5 +536,11 @@
         leader.took(Stamp(17), now);
         assert_eq!((leader.claims(now, 15), leader.token()), (Standing::Same, Some(Token(17))));
         assert_eq!(leader.claims(now, 19), Standing::Lost);
+        // One that is not far off is none only until revisions have come so far.
+        leader.took(Stamp(18), now);
+        assert_eq!(leader.claims(now, 20), Standing::Same);
+        leader.deposed(now);
+        leader.took(Stamp(23), now);
+        assert_eq!(leader.claims(now, 25), Standing::Lost);
     }
 }
