--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -136,7 +136,7 @@
 }
 
 enum Caller {
-    User { job: String, what: What, since: Us },
+    User { job: String, what: What, since: Us, asked: Us },
     Worker { machine: u64, serial: u64 },
     Operator(Question),
 }
@@ -345,7 +345,7 @@
             self.callers.keys().filter(|(n, _)| *n == i).copied().collect();
         for key in gone {
             match self.callers.remove(&key) {
-                Some(Caller::User { job, what, since }) => self.retry(job, what, since, 1.0),
+                Some(Caller::User { job, what, since, .. }) => self.retry(job, what, since, 1.0),
                 Some(Caller::Operator(q)) => self.ask_again(q),
                 Some(Caller::Worker { machine, serial }) => {
                     self.push(self.now + 2_000, Event::ReportTimedOut { machine, serial })
@@ -606,8 +606,8 @@
             }
             Out::Answer { to, status, body, .. } => {
                 match self.callers.remove(&(i, to.generation)) {
-                    Some(Caller::User { job, what, since }) => {
-                        self.user_answered(job, what, since, status, &body)
+                    Some(Caller::User { job, what, since, asked }) => {
+                        self.user_answered(job, what, (since, asked), status, &body)
                     }
                     Some(Caller::Operator(q)) => {
                         self.answers.insert(q.name, (status, decode(&body)));
@@ -796,7 +796,7 @@
             Event::UserSends { job, what, since } => self.user_sends(job, what, since),
             Event::UserGivesUp { request } => {
                 let key = self.callers.keys().find(|(_, r)| *r == request).copied();
-                if let Some(Caller::User { job, what, since }) =
+                if let Some(Caller::User { job, what, since, .. }) =
                     key.and_then(|k| self.callers.remove(&k))
                 {
                     self.unanswered += 1;
@@ -914,7 +914,8 @@
             }
         };
         let serial = self.next_request + 1;
-        self.callers.insert((node, serial), Caller::User { job, what, since });
+        let asked = self.now;
+        self.callers.insert((node, serial), Caller::User { job, what, since, asked });
         let patience = if what == What::Poll { 2 } else { 5 } * SECOND;
         self.push(self.now + patience, Event::UserGivesUp { request: serial });
         self.request(node, method, &path, body);
@@ -928,7 +929,14 @@
         self.push(self.now + (after_s * 1e6) as u64, Event::UserSends { job, what, since });
     }
 
-    fn user_answered(&mut self, job: String, what: What, since: Us, status: u16, body: &[u8]) {
+    fn user_answered(
+        &mut self,
+        job: String,
+        what: What,
+        (since, asked): (Us, Us),
+        status: u16,
+        body: &[u8],
+    ) {
         if what == What::Poll && self.untold.as_ref() == Some(&job) {
             return self.retry(job, what, since, 1.0);
         }
@@ -944,7 +952,7 @@
         }
         let told = self.told.entry(job.clone()).or_default();
         let before = told.cancelled;
-        let (broken, next) = told.answered(now, what, status, &state, done >= total);
+        let (broken, next) = told.answered((now, asked), what, status, &state, done >= total);
         let cancelled = told.cancelled != before;
         if cancelled {
             self.happened("cancelled");
--- a/crates/standins/src/user.rs
+++ b/crates/standins/src/user.rs
@@ -29,6 +29,8 @@
     pub accepted: bool,
     pub done: bool,
     pub cancelled: Option<Us>,
+    /// When he was first told that it is done or cancelled.
+    pub over: Option<Us>,
     pub asked_cancel: bool,
     pub last_status: String,
     pub final_status: Option<u16>,
@@ -36,10 +38,15 @@
 }
 
 impl Told {
-    /// Takes an answer; `complete` says whether all tasks have really ended.
+    /// Takes the answer to a question of that time; `complete` says whether all tasks
+    /// have really ended.
+    ///
+    /// A user who asks twice at the same time, here to cancel and there how it goes, is
+    /// told both: what was asked before he was told "cancelled" may have been answered
+    /// before that was so, and be on its way. What he asks after it may not be older.
     pub fn answered(
         &mut self,
-        now: Us,
+        (now, asked): (Us, Us),
         what: What,
         status: u16,
         state: &str,
@@ -52,8 +59,11 @@
                     broken.push("invented");
                 }
                 self.accepted = true;
-                let back = (self.done && state != "done")
-                    || (self.cancelled.is_some() && state != "cancelled")
+                // Of two ends one is wrong, whenever it was asked.
+                let final_state = matches!(state, "done" | "cancelled");
+                let after = final_state || self.over.is_some_and(|told| asked >= told);
+                let back = (after && self.done && state != "done")
+                    || (after && self.cancelled.is_some() && state != "cancelled")
                     || (state == "cancelled" && !self.asked_cancel);
                 if back {
                     broken.push("went_back");
@@ -66,6 +76,9 @@
                 } else if state == "cancelled" {
                     self.cancelled.get_or_insert(now);
                 }
+                if final_state {
+                    self.over.get_or_insert(now);
+                }
             }
             404 | 400 | 422 if self.accepted => broken.push("forgotten"),
             503 => return (broken, Some(Next::Again(AGAIN_S))),
@@ -89,9 +102,9 @@
     fn each_rule_about_answers_can_be_broken() {
         let case = |first: (u16, &str), then: (u16, &str), complete| {
             let mut told = Told { submitted: true, ..Told::default() };
-            let (broken, _) = told.answered(1, What::Submit, first.0, first.1, true);
+            let (broken, _) = told.answered((1, 0), What::Submit, first.0, first.1, true);
             assert!(broken.is_empty(), "{broken:?}");
-            told.answered(2, What::Poll, then.0, then.1, complete).0
+            told.answered((2, 1), What::Poll, then.0, then.1, complete).0
         };
         assert_eq!(case((201, "pending"), (404, ""), true), ["forgotten"]);
         assert_eq!(case((201, "pending"), (200, "done"), false), ["not_done"]);
@@ -99,6 +112,23 @@
         assert_eq!(case((201, "pending"), (200, "cancelled"), true), ["went_back"]);
         assert!(case((201, "pending"), (200, "done"), true).is_empty());
         let mut nobody = Told::default();
-        assert_eq!(nobody.answered(1, What::Poll, 200, "done", true).0, ["invented"]);
+        assert_eq!(nobody.answered((1, 0), What::Poll, 200, "done", true).0, ["invented"]);
+    }
+
+    /// Day meet-41-189: a poll that waited out an outage was answered a millisecond after
+    /// the cancellation that the same user sent to another controller meanwhile.
+    #[test]
+    fn only_what_is_asked_later_may_not_be_older() {
+        for (asked, broken) in [(4, false), (5, true), (9, true)] {
+            let mut told = Told { submitted: true, asked_cancel: true, ..Told::default() };
+            told.answered((2, 1), What::Submit, 201, "pending", false);
+            told.answered((5, 3), What::Cancel, 200, "cancelled", false);
+            let (found, _) = told.answered((10, asked), What::Poll, 200, "running", false);
+            assert_eq!(found == ["went_back"], broken, "{asked}");
+            let (found, _) = told.answered((11, 4), What::Poll, 200, "done", true);
+            assert_eq!(found, ["went_back"], "one of two ends is wrong");
+            let (found, _) = told.answered((13, 12), What::Poll, 200, "running", false);
+            assert_eq!(found, ["went_back"]);
+        }
     }
 }
