--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -29,6 +29,8 @@
     pub old_reports: bool,
     /// Guard 1 left out of placements: they do not rest on the block.
     pub no_block: bool,
+    /// Guard 1 left out: a token whose term ended here is taken up again.
+    pub old_term: bool,
     /// A take of ours whose answer was lost is never looked for.
     pub own_lead: bool,
     /// A stop whose `run` was lost stays in the books.
@@ -44,7 +46,7 @@
 /// A switch's name in scenario files, and the switch.
 type Named = (&'static str, fn(&mut Faults) -> &mut bool);
 
-const NAMES: [Named; 15] = [
+const NAMES: [Named; 16] = [
     ("unbounded", |f| &mut f.unbounded),
     ("hasty", |f| &mut f.hasty),
     ("scattered", |f| &mut f.scattered),
@@ -55,6 +57,7 @@
     ("own_silence", |f| &mut f.own_silence),
     ("old_reports", |f| &mut f.old_reports),
     ("no_block", |f| &mut f.no_block),
+    ("old_term", |f| &mut f.old_term),
     ("own_lead", |f| &mut f.own_lead),
     ("stuck_stop", |f| &mut f.stuck_stop),
     ("stale_answers", |f| &mut f.stale_answers),
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -413,7 +413,7 @@
                             // that term may still be on their way.
                             if name.as_ref() == Some(&self.me)
                                 && self.token.is_none()
-                                && stamp.0 > self.last.0
+                                && (stamp.0 > self.last.0 || broken!(self.faults, old_term))
                             {
                                 return self.took(stamp, reply.sent);
                             }
@@ -543,4 +543,38 @@
         leader.took(Stamp(23), now);
         assert_eq!(leader.claims(now, 25), Standing::Lost);
     }
+
+    /// Controllers hand over and back within a second: who handed over, and finds the
+    /// block as he left it, begins no term with the token of the one that is over.
+    /// Attempts count from it, and its transactions may still be on their way.
+    #[test]
+    fn a_term_that_is_over_is_not_taken_up_again() {
+        for broken in [false, true] {
+            let text = beamhinge_vocab::settings::SAMPLE;
+            let settings = Settings::parse("t", text).expect("the sample is sound");
+            let mut leader = Leader::new(&settings, 7);
+            leader.faults.old_term = broken;
+            let now = Time::from_micros(10_000_000);
+            leader.took(Stamp(8), now);
+            let mut ledger = Ledger::new(&settings);
+            assert_eq!(leader.step_back(now, &mut ledger), Standing::Lost);
+            let read = |leader: &mut Leader, stamp: u64| {
+                let value = wire::to_value(&leader.me);
+                let pair = [("path", "block/0".into()), ("value", value), ("stamp", stamp.into())];
+                let pair = pair.map(|(k, v)| (ciborium::Value::from(k), v)).to_vec();
+                let pairs = ciborium::Value::Array(vec![ciborium::Value::Map(pair)]);
+                let scan = [("pairs", pairs), ("ledgerRev", 20u64.into())];
+                let scan = scan.map(|(k, v)| (ciborium::Value::from(k), v)).to_vec();
+                let outcome = Outcome::Ok(wire::encode(&ciborium::Value::Map(scan)));
+                let tag = Tag::Lead(LeadCall::ReadBlock);
+                leader.apply(now, LeadCall::ReadBlock, Reply { tag, outcome, sent: now })
+            };
+            let again = read(&mut leader, 8);
+            assert_eq!(again == Standing::Took { token: Token(8) }, broken);
+            // A take of ours that came late, after it, is a new term.
+            if !broken {
+                assert_eq!(read(&mut leader, 12), Standing::Took { token: Token(12) });
+            }
+        }
+    }
 }
