--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -391,4 +391,21 @@
         assert!(matches!(outcome(&mut ledger, 2, Some((503, vec![]))), Some(Outcome::Refused)));
         assert!(matches!(outcome(&mut ledger, 3, Some((502, vec![]))), Some(Outcome::Lost)));
     }
+
+    /// A reply to nothing that flies, of an earlier process or come twice, says nothing:
+    /// it is handed to no slice, and counts as no exchange.
+    #[test]
+    fn a_reply_that_nobody_waits_for_is_dropped() {
+        let settings = Settings::parse("t", beamhinge_vocab::settings::SAMPLE).expect("sound");
+        let mut ledger: Ledger<u32> = Ledger::new(&settings);
+        let (mut calls, mut out) = (0, Vec::new());
+        ledger.renew(Time::from_micros(5_000_000), 1, 1);
+        ledger.pump(Time::from_micros(5_000_000), &mut calls, &mut out);
+        for id in [0, 2, u64::MAX] {
+            assert!(ledger.on_reply(CallId(id), Some((200, vec![]))).is_none());
+        }
+        assert_eq!((ledger.last_ok(), ledger.last_answer()), (None, None));
+        assert!(ledger.on_reply(CallId(1), Some((200, vec![]))).is_some());
+        assert!(ledger.on_reply(CallId(1), Some((200, vec![]))).is_none());
+    }
 }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -110,14 +110,19 @@
     /// renewed the leases of cancelled tasks anew for H and a lease, counted from a
     /// takeover that came after the cancellation.
     fn stops_at_once(&self, report: &Report, book: &JobBook) -> Vec<Order> {
+        let over = self.over_here(report, book);
+        over.into_iter().map(|(task, a)| order("kill", task, a, Some(0.0))).collect()
+    }
+
+    /// What a worker lists as live though its job is over.
+    fn over_here(&self, report: &Report, book: &JobBook) -> Vec<(TaskId, Attempt)> {
         if broken!(self.faults, late_stops) {
             return Vec::new();
         }
         let over = |task: &TaskId| book.get(task.job).is_some_and(|b| b.state != JobState::Open);
         let live = report.pieces.iter().filter(|p| p.status != "exited");
         let tasks = live.filter_map(|p| Some((TaskId::parse(&p.piece)?, Attempt(p.attempt))));
-        let ended = tasks.filter(|(task, _)| over(task)).take(MOST_ORDERS);
-        ended.map(|(task, attempt)| order("kill", task, attempt, Some(0.0))).collect()
+        tasks.filter(|(task, _)| over(task)).take(MOST_ORDERS).collect()
     }
 
     fn take_in(&mut self, now: Time, id: MachineId, newer: Newer, report: &Report) {
@@ -392,9 +397,9 @@
         book: &JobBook,
     ) -> Vec<Order> {
         // Before all else: guard 4 rests on it.
-        let mut orders = self.stops_at_once(report, book);
-        let mut told: BTreeSet<(String, u64)> =
-            orders.iter().map(|o| (o.piece.clone(), o.attempt)).collect();
+        let over = self.over_here(report, book);
+        let stop = |(task, attempt): &(TaskId, Attempt)| order("kill", *task, *attempt, Some(0.0));
+        let mut orders: Vec<Order> = over.iter().map(stop).collect();
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         if let Some(notice) = report.reclaim_in_s {
             // A task that can save does so before the machine is taken, unless
@@ -411,12 +416,8 @@
                 }
             }
         }
-        for (task, attempt) in &m.ghosts {
-            let stop = order("kill", *task, *attempt, Some(0.0));
-            if orders.len() < MOST_ORDERS && told.insert((stop.piece.clone(), stop.attempt)) {
-                orders.push(stop);
-            }
-        }
+        let room = MOST_ORDERS - orders.len();
+        orders.extend(m.ghosts.iter().filter(|g| !over.contains(g)).take(room).map(stop));
         for p in report.pieces.iter().filter(|p| p.status == "exited") {
             if orders.len() >= MOST_ORDERS {
                 break;
@@ -432,12 +433,9 @@
         self.stops.remove(&id);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in m.entries.iter().filter(|(_, e)| e.kill.is_some()) {
-            let stop = order("kill", *task, e.attempt, e.kill);
-            if orders.len() < MOST_ORDERS
-                && matches!(e.state, State::Seen(_))
-                && told.insert((stop.piece.clone(), stop.attempt))
-            {
-                orders.push(stop);
+            let stops = matches!(e.state, State::Seen(_)) && !over.contains(&(*task, e.attempt));
+            if stops && orders.len() < MOST_ORDERS {
+                orders.push(order("kill", *task, e.attempt, e.kill));
             }
         }
         // What was placed into room that was there goes first, then what others
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -5,7 +5,7 @@
 use beamhinge_sim::days::{self, Day, Size};
 use beamhinge_sim::meetings;
 use beamhinge_sim::scenario::{self, Outcome};
-use clap::{Args, ValueEnum};
+use clap::Args;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -24,9 +24,6 @@
     /// Play the faults of this file, in the bench's form, instead of drawn ones
     #[arg(long, value_name = "TOML")]
     file: Option<PathBuf>,
-    /// Put a fault of old back: the days must find it
-    #[arg(long = "break", value_enum)]
-    broken: Option<Broken>,
     /// Make the first failing day smaller and write it to this file
     #[arg(long, value_name = "FILE")]
     reduce: Option<PathBuf>,
@@ -39,9 +36,9 @@
     /// Days on which troubles meet: the gap, and pairs and triples timed by what happens
     #[arg(long, conflicts_with = "file")]
     meetings: bool,
-    /// Leave a guard out, by its name in docs/safety.md: the days should find it
-    #[arg(long, value_name = "GUARD", conflicts_with = "broken")]
-    without: Option<String>,
+    /// Leave a guard out, or put a fault of old back, by its name: the days must find it
+    #[arg(long, alias = "break", value_name = "GUARD", value_parser = faults)]
+    without: Option<Faults>,
     /// Waiting jobs rise, after 30 and 15 seconds
     #[arg(long)]
     ageing: bool,
@@ -50,31 +47,15 @@
     jobs: usize,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-enum Broken {
-    /// Transactions take more than may be, and are repeated alike
-    Unbounded,
-    /// Silent is dead as long as most are heard
-    Hasty,
-    /// Room is made all over the fleet and kept for nobody
-    Scattered,
+fn faults(name: &str) -> Result<Faults, String> {
+    Faults::named(name).ok_or_else(|| "no guard or fault is called so".into())
 }
 
 type Played = Result<Outcome, scenario::Wrong>;
 
 pub fn run(seed: u64, quick: bool, o: &Options) -> Result<Value, LabError> {
     let size = if quick { days::SMALL } else { days::FULL };
-    let mut faults = Faults::default();
-    match o.broken {
-        Some(Broken::Unbounded) => faults.unbounded = true,
-        Some(Broken::Hasty) => faults.hasty = true,
-        Some(Broken::Scattered) => faults.scattered = true,
-        None => {}
-    }
-    if let Some(guard) = &o.without {
-        faults = Faults::named(guard)
-            .ok_or_else(|| LabError::Other(format!("no guard is called '{guard}'")))?;
-    }
+    let faults = o.without.unwrap_or_default();
     let mut plan = plan(seed, size, o)?;
     if o.ageing {
         let line = "ageing on=yes best_effort_s=30 standard_s=15\n";
