--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -39,6 +39,18 @@
     pub stale_answers: bool,
     /// A state service that refuses counts as one that is not heard at all.
     pub refused_is_cut: bool,
+    /// The team limits' guard left out: what is to be stopped counts no more.
+    pub forget_stopped: bool,
+    /// The first word of a machine in a term counts as life, however old it may be.
+    pub first_word: bool,
+    /// Word of a job's end is not passed on between controllers.
+    pub no_word: bool,
+    /// A rental whose answer was lost is asked for under a new name.
+    pub new_rental: bool,
+    /// What is cancelled is inherited like what is not.
+    pub inherited_runs: bool,
+    /// Absence from a direct answer ends what was only just sent.
+    pub direct_absence: bool,
     /// A result is cleared on its machine before the state service knows it.
     pub early_clear: bool,
 }
@@ -46,7 +58,7 @@
 /// A switch's name in scenario files, and the switch.
 type Named = (&'static str, fn(&mut Faults) -> &mut bool);
 
-const NAMES: [Named; 16] = [
+const NAMES: [Named; 22] = [
     ("unbounded", |f| &mut f.unbounded),
     ("hasty", |f| &mut f.hasty),
     ("scattered", |f| &mut f.scattered),
@@ -62,6 +74,12 @@
     ("stuck_stop", |f| &mut f.stuck_stop),
     ("stale_answers", |f| &mut f.stale_answers),
     ("refused_is_cut", |f| &mut f.refused_is_cut),
+    ("forget_stopped", |f| &mut f.forget_stopped),
+    ("first_word", |f| &mut f.first_word),
+    ("no_word", |f| &mut f.no_word),
+    ("new_rental", |f| &mut f.new_rental),
+    ("inherited_runs", |f| &mut f.inherited_runs),
+    ("direct_absence", |f| &mut f.direct_absence),
     ("early_clear", |f| &mut f.early_clear),
 ];
 
--- a/crates/controller/src/fleet/machines.rs
+++ b/crates/controller/src/fleet/machines.rs
@@ -222,7 +222,7 @@
         let seen = self.seen(now, shapes, settings, senses, place);
         let look = self.suspicion.look(now, place.overdue_s(), &seen);
         #[cfg(feature = "faults")]
-        let look = if self.hasty { hastily(&seen, bounds(settings).limit_s) } else { look };
+        let look = if self.faults.hasty { hastily(&seen, bounds(settings).limit_s) } else { look };
         self.link = look.link;
         self.tell_groups(settings, shapes, look.groups);
         let mut given_up: BTreeMap<MachineId, &'static str> = BTreeMap::new();
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -274,7 +274,7 @@
     shielded: BTreeMap<MachineId, f64>,
     groups: Vec<(Group, f64)>,
     #[cfg(feature = "faults")]
-    hasty: bool,
+    faults: crate::faults::Faults,
 }
 
 pub struct Fleet {
@@ -290,7 +290,7 @@
     queue: VecDeque<CloudCall>,
     term: Option<Term>,
     #[cfg(feature = "faults")]
-    hasty: bool,
+    faults: crate::faults::Faults,
 }
 
 impl Fleet {
@@ -308,13 +308,13 @@
             queue: VecDeque::new(),
             term: None,
             #[cfg(feature = "faults")]
-            hasty: false,
+            faults: Default::default(),
         }
     }
 
     #[cfg(feature = "faults")]
     pub fn put_back(&mut self, faults: crate::faults::Faults) {
-        self.hasty = faults.hasty;
+        self.faults = faults;
     }
 
     pub fn shapes(&self) -> &[Shape] {
@@ -366,7 +366,7 @@
             splits: Splits::new(operator, token, now),
             suspicion: Suspicion::new(bounds(settings)),
             #[cfg(feature = "faults")]
-            hasty: self.hasty,
+            faults: self.faults,
             link: Link::default(),
             shielded: BTreeMap::new(),
             groups: Vec::new(),
@@ -647,6 +647,10 @@
                         r.flying = false;
                         r.tried = true;
                         r.retry_at = now.plus(1.0);
+                        #[cfg(feature = "faults")]
+                        if term.faults.new_rental {
+                            r.row.name.push('x');
+                        }
                     }
                 }
             }
--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -16,7 +16,7 @@
 use beamhinge_vocab::wire::{self, problem};
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 const MOST_TASKS: u32 = 100_000;
@@ -33,10 +33,16 @@
 const MOST_FLYING: usize = 3;
 /// Jobs that one transaction accepts.
 const MOST_ACCEPTS: usize = 8;
+/// Jobs of which it is remembered that peers know their end: more do not end within
+/// the seconds in which a question waits.
+const WORDS_KNOWN: usize = 512;
 /// A poll's client waits two seconds: no answer of ours takes longer.
 const POLL_PATIENCE_S: f64 = 1.4;
 const SUBMIT_PATIENCE_S: f64 = 3.0;
 const RETRY_AFTER_S: u32 = 1;
+/// A job's ends, as users are told them.
+const DONE: &str = "done";
+const CANCELLED: &str = "cancelled";
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -189,6 +195,9 @@
     request: RequestId,
     job: JobId,
     since: Time,
+    /// No copy from before this answers it: when it came, or when word came since that
+    /// its job has ended.
+    newer_than: Time,
     ask: Ask,
 }
 
@@ -213,6 +222,10 @@
     order: VecDeque<JobId>,
     cancels: BTreeMap<JobId, Cancel>,
     accepts_flying: usize,
+    /// Jobs whose end a user of ours was told, and no peer yet.
+    words: Vec<JobId>,
+    /// Those of which peers were told, the latest last.
+    spread: VecDeque<JobId>,
     /// What the holder last told us of jobs' progress; for display only.
     pub shown: BTreeMap<JobId, Counts>,
     /// What tests put in.
@@ -243,6 +256,7 @@
     }
 
     fn answer(
+        &mut self,
         out: &mut Vec<Out>,
         to: RequestId,
         status: u16,
@@ -250,6 +264,9 @@
         state: &'static str,
         counts: Option<Counts>,
     ) {
+        if matches!(state, DONE | CANCELLED) {
+            self.ended(id);
+        }
         let body = wire::encode(&StatusBody {
             name_id: id.to_string(),
             status: state,
@@ -260,7 +277,7 @@
     }
 
     fn tell(
-        &self,
+        &mut self,
         out: &mut Vec<Out>,
         to: RequestId,
         id: JobId,
@@ -272,18 +289,18 @@
             _ => own.or_else(|| self.shown.get(&id).copied()).unwrap_or_default(),
         };
         let state = match entry.state {
-            JobState::Done => "done",
-            JobState::Cancelled => "cancelled",
+            JobState::Done => DONE,
+            JobState::Cancelled => CANCELLED,
             JobState::Open if counts.running > 0 => "running",
             JobState::Open => "pending",
         };
-        Self::answer(out, to, 200, id, state, Some(counts));
+        self.answer(out, to, 200, id, state, Some(counts));
     }
 
     /// Final states never change and need no fresh copy; and beyond the limit
     /// of what may wait, users are told to come back.
     fn answered_at_once(
-        &self,
+        &mut self,
         to: RequestId,
         id: JobId,
         book: &JobBook,
@@ -349,7 +366,38 @@
                 return;
             }
         };
-        self.waiters.push_back(Waiter { request: to, job: id, since: now, ask });
+        self.wait(now, to, id, ask);
+    }
+
+    fn wait(&mut self, now: Time, request: RequestId, job: JobId, ask: Ask) {
+        self.waiters.push_back(Waiter { request, job, since: now, newer_than: now, ask });
+    }
+
+    /// Word of a peer that these jobs have ended, and that a user was told so. It changes
+    /// nothing of what we know: questions that wait are answered from a copy that is newer
+    /// than the word, so that no older answer follows what the user has heard elsewhere.
+    pub fn heard_ended(&mut self, now: Time, jobs: impl Iterator<Item = JobId>) {
+        let jobs: BTreeSet<JobId> = jobs.collect();
+        for w in self.waiters.iter_mut().filter(|w| jobs.contains(&w.job)) {
+            w.newer_than = now;
+        }
+    }
+
+    /// Ends that users were told in this step, for the peers.
+    pub fn take_words(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.words)
+    }
+
+    /// A user is told that this job has ended: so are the peers, once.
+    fn ended(&mut self, id: JobId) {
+        if self.spread.contains(&id) {
+            return;
+        }
+        if self.spread.len() >= WORDS_KNOWN {
+            self.spread.pop_front();
+        }
+        self.spread.push_back(id);
+        self.words.push(id);
     }
 
     pub fn poll(
@@ -385,7 +433,7 @@
         out: &mut Vec<Out>,
     ) {
         if !self.answered_at_once(to, id, book, out) {
-            self.waiters.push_back(Waiter { request: to, job: id, since: now, ask });
+            self.wait(now, to, id, ask);
         }
     }
 
@@ -405,7 +453,7 @@
         let mut left = VecDeque::new();
         while let Some(w) = self.waiters.pop_front() {
             // Only a copy read after the question came can answer it.
-            let stale = fresh.is_none_or(|f| f < w.since);
+            let stale = fresh.is_none_or(|f| f < w.newer_than);
             if stale && !broken!(self.faults, stale_answers) {
                 if freshness == Freshness::Failed {
                     Self::busy(out, w.request, "the state service cannot be reached");
@@ -433,10 +481,8 @@
                 }),
                 (Ask::Known { refuse: None }, None) => Self::busy(out, w.request, "try again"),
                 (Ask::Cancel, Some(entry)) => match entry.state {
-                    JobState::Done => Self::answer(out, w.request, 200, w.job, "done", None),
-                    JobState::Cancelled => {
-                        Self::answer(out, w.request, 200, w.job, "cancelled", None)
-                    }
+                    JobState::Done => self.answer(out, w.request, 200, w.job, DONE, None),
+                    JobState::Cancelled => self.answer(out, w.request, 200, w.job, CANCELLED, None),
                     JobState::Open => {
                         let c = self.cancels.entry(w.job).or_insert(Cancel {
                             requests: Vec::new(),
@@ -488,8 +534,8 @@
                     c.flying = true;
                     ledger.commit(now, Priority::Accept, Tag::Intake(IntakeCall::Cancel(*id)), txn);
                 }
-                Some((JobState::Done, _)) => over.push((*id, Some("done"))),
-                Some((JobState::Cancelled, _)) => over.push((*id, Some("cancelled"))),
+                Some((JobState::Done, _)) => over.push((*id, Some(DONE))),
+                Some((JobState::Cancelled, _)) => over.push((*id, Some(CANCELLED))),
                 _ => over.push((*id, None)),
             }
         }
@@ -497,7 +543,7 @@
             let Some(c) = self.cancels.remove(&id) else { continue };
             for to in c.requests {
                 match state {
-                    Some(s) => Self::answer(out, to, 200, id, s, None),
+                    Some(s) => self.answer(out, to, 200, id, s, None),
                     None => Self::busy(out, to, "the state service does not answer"),
                 }
             }
@@ -599,7 +645,7 @@
                             }
                             let mut status = 201;
                             for to in a.requests {
-                                Self::answer(out, to, status, id, "pending", None);
+                                self.answer(out, to, status, id, "pending", None);
                                 status = 200;
                             }
                         }
@@ -619,12 +665,7 @@
                             // Somebody accepted it before: say what it is now.
                             let Some(a) = self.accepts.remove(&id) else { continue };
                             for to in a.requests {
-                                self.waiters.push_back(Waiter {
-                                    request: to,
-                                    job: id,
-                                    since: now,
-                                    ask: Ask::Known { refuse: None },
-                                });
+                                self.wait(now, to, id, Ask::Known { refuse: None });
                             }
                         }
                     }
@@ -648,7 +689,7 @@
                     }
                     if let Some(c) = self.cancels.remove(&id) {
                         for to in c.requests {
-                            Self::answer(out, to, 200, id, "cancelled", None);
+                            self.answer(out, to, 200, id, CANCELLED, None);
                         }
                     }
                 }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -73,6 +73,8 @@
     fleet: Fleet,
     peers: Peers,
     next_call: u64,
+    /// Silent machines that were asked directly, and when.
+    asked: BTreeMap<MachineId, Time>,
     /// Workers we told of our token directly, and when.
     nudged: BTreeMap<MachineId, Time>,
     nudges: BTreeMap<CallId, MachineId>,
@@ -128,6 +130,7 @@
             peers: Peers::default(),
             next_call: 0,
             nudged: BTreeMap::new(),
+            asked: BTreeMap::new(),
             nudges: BTreeMap::new(),
             started: now,
             stepped_back: None,
@@ -356,12 +359,26 @@
             }
         } else if self.fleet.is_ours(id) {
             self.fleet.on_cloud(now, id, result, self.place.as_mut());
-        } else {
-            self.nudges.remove(&id);
+        } else if self.nudges.remove(&id).is_some() {
+            // Executed, or refused for its session: either way the body is a report.
+            let body = result.filter(|(status, _)| matches!(status, 200 | 409)).map(|(_, b)| b);
+            if let Some(report) = body.and_then(|b| wire::decode::<Report>(&b).ok()) {
+                self.direct_answer(now, &report);
+            }
         }
         self.run(now, wall, out);
     }
 
+    /// What a worker says in the answer to a direct command.
+    fn direct_answer(&mut self, now: Time, report: &Report) {
+        // Guard 1: as with its reports.
+        let standing = self.leader.claims(now, report.baton);
+        self.on_standing(now, standing);
+        if let Some(place) = &mut self.place {
+            place.direct_answer(now, report, &self.book);
+        }
+    }
+
     fn route(&mut self, now: Time, reply: Reply<Tag>, out: &mut Vec<Out>) {
         match reply.tag.clone() {
             Tag::Directives(call) => {
@@ -493,6 +510,10 @@
                     self.stuck.insert(label, now);
                 }
             }
+            Frame::Ended { jobs } => {
+                let jobs = jobs.iter().take(Frame::MOST_NAMES).filter_map(|j| JobId::parse(j));
+                self.intake.heard_ended(now, jobs);
+            }
             Frame::Holds { label, token } => {
                 if self.peers.token_of(&label) != Some(token) {
                     self.visitors.holder_changed();
@@ -546,6 +567,7 @@
             self.consider_stall(now, out);
             self.consider_stepping_back(now);
             self.consider_taking_early(now);
+            self.ask_silent(now, out);
             self.obey_drain(now);
             if now.since(self.measured) >= 1.0 {
                 self.measured = now;
@@ -761,6 +783,26 @@
         }
     }
 
+    /// Asks machines that fell silent, a few at a time: those that reach no controller
+    /// may still be reached, and say what has ended there.
+    fn ask_silent(&mut self, now: Time, out: &mut Vec<Out>) {
+        // Guard 4: only while we are entitled to command.
+        if !self.entitled(now) || self.nudges.len() >= MOST_ASKED {
+            return;
+        }
+        let Some(place) = &self.place else { return };
+        let (token, room) = (place.token(), MOST_ASKED - self.nudges.len());
+        let asked =
+            |id: &MachineId| self.asked.get(id).is_some_and(|t| now.since(*t) < ASK_AGAIN_S);
+        let silent = place.silent_with_tasks(now).into_iter().filter(|(id, ..)| !asked(id));
+        let silent: Vec<_> = silent.take(room).collect();
+        self.asked.retain(|_, t| now.since(*t) < ASK_AGAIN_S);
+        for (machine, endpoint, tenure, orders) in silent {
+            self.asked.insert(machine, now);
+            self.call_worker(machine, endpoint, token, tenure, orders, out);
+        }
+    }
+
     /// Something happens here: we are there, and may not have been.
     fn awake(&mut self, now: Time, wall: WallMs) {
         self.wall = wall;
@@ -773,7 +815,13 @@
     }
 
     /// What a step sent out, as operators see it.
-    fn finish(&mut self, now: Time, before: usize, out: &mut [Out]) {
+    fn finish(&mut self, now: Time, before: usize, out: &mut Vec<Out>) {
+        let words = self.intake.take_words();
+        if !words.is_empty() && !broken!(self.faults, no_word) {
+            // Before the answers themselves.
+            let jobs = words.iter().take(Frame::MOST_NAMES).map(|j| j.to_string()).collect();
+            out.insert(before, Out::Tell { to: None, frame: encode(&Frame::Ended { jobs }) });
+        }
         let new = &mut out[before..];
         self.translate(new);
         self.metrics.sent(now, new);
@@ -888,6 +936,12 @@
     }
 }
 
+/// Silent machines that are asked at the same time: each that is cut off holds a socket
+/// until its time is up.
+const MOST_ASKED: usize = 16;
+/// How long until the same one is asked again, seconds.
+const ASK_AGAIN_S: f64 = 3.0;
+
 /// How long a machine that was sent to the holder must not come back.
 const DEAF_S: f64 = 12.0;
 
--- a/crates/controller/src/placement/ageing.rs
+++ b/crates/controller/src/placement/ageing.rs
@@ -133,7 +133,7 @@
             .filter_map(|(machine, m)| {
                 let shape = round.shapes.get(m.shape?)?;
                 allows(&spec, shape, m).then_some(())?;
-                let free = m.unpromised(round.shapes, &self.jobs).sizes();
+                let free = m.unpromised(round.shapes).sizes();
                 let mut running = self.running(now, m);
                 Some((*machine, soonest(free, &mut running, need.sizes())?))
             })
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -185,9 +185,9 @@
         for (row, no) in rows {
             let spec = book.get(row.task.job).and_then(|e| e.spec.clone());
             let over = book.get(row.task.job).is_none_or(|e| e.state != JobState::Open);
+            let over = over && !broken!(self.faults, inherited_runs);
             // Without a description its size is unknown: the machine is full.
-            let need =
-                spec.as_ref().map_or(Need { cpus: 1e9, gpus: 0.0, memory_gb: 0.0 }, |s| need_of(s));
+            let need = spec.as_ref().map_or(UNKNOWN_NEED, |s| need_of(s));
             let team = spec.as_ref().and_then(|s| self.team(s));
             let m = self.machines.entry(row.machine).or_insert_with(|| Machine::new(now));
             m.entries.insert(
@@ -218,10 +218,6 @@
             self.jobs.len(),
             self.machines.len()
         );
-        // What was reported meanwhile was not taken in: ask again.
-        for m in self.machines.values_mut() {
-            m.last = None;
-        }
     }
 
     // ---- changing ----
--- a/crates/controller/src/placement/explain.rs
+++ b/crates/controller/src/placement/explain.rs
@@ -194,7 +194,7 @@
                     Some(Hindrance::Sick) => tally.sick += 1,
                     Some(Hindrance::Slow) => tally.slow += 1,
                     None => {
-                        let free = m.unpromised(shapes, &self.jobs);
+                        let free = m.unpromised(shapes);
                         if need.fits(&free) {
                             room = true;
                             continue;
@@ -231,7 +231,7 @@
     /// One machine as our books have it.
     pub fn tell_machine(&self, now: Time, id: MachineId, shapes: &[Shape], row: &mut MachineRow) {
         let Some(m) = self.machines.get(&id) else { return };
-        let free = m.free(shapes, &self.jobs);
+        let free = m.free(shapes);
         row.tasks = m.entries.len() as u32;
         row.heard_s = m.heard.map(|h| now.since(h));
         if m.shape.is_some() {
@@ -303,7 +303,7 @@
             }
             t.up += 1;
             t.cpus += shape.cpus;
-            t.cpus_used += shape.cpus - m.free(shapes, &self.jobs).cpus.max(0.0);
+            t.cpus_used += shape.cpus - m.free(shapes).cpus.max(0.0);
         }
         t
     }
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -127,6 +127,16 @@
     lane: bool,
 }
 
+/// A task that a worker lists and our books do not know: it takes room, and its team's
+/// use, until it is gone, also when its job is over.
+#[derive(Clone, Debug, PartialEq)]
+struct Orphan {
+    task: TaskId,
+    attempt: Attempt,
+    need: Need,
+    team: Option<usize>,
+}
+
 #[derive(Debug)]
 pub struct Machine {
     shape: Option<usize>,
@@ -134,6 +144,10 @@
     pub spot: bool,
     pub endpoint: Option<SocketAddrV4>,
     last: Option<Moment>,
+    /// The newest that it said in answer to a direct command.
+    told: Option<Moment>,
+    /// When its first word in our term came, while that is all there is.
+    first_word: Option<Time>,
     pub heard: Option<Time>,
     answered: Option<Time>,
     /// The worker's newest report carried our token.
@@ -146,7 +160,7 @@
     pub drain: Option<Rc<Directive>>,
     entries: BTreeMap<TaskId, Entry>,
     /// Listed by the worker, though not in our books.
-    ghosts: Vec<(TaskId, Attempt)>,
+    orphans: Vec<Orphan>,
     images: Vec<Rc<str>>,
     pub idle_since: Time,
     /// It refused a task for which our books saw room: until then, no more.
@@ -208,6 +222,8 @@
             spot: false,
             endpoint: None,
             last: None,
+            told: None,
+            first_word: None,
             heard: None,
             answered: None,
             synced: false,
@@ -216,7 +232,7 @@
             draining: false,
             drain: None,
             entries: BTreeMap::new(),
-            ghosts: Vec::new(),
+            orphans: Vec::new(),
             images: Vec::new(),
             idle_since: now,
             refuses_until: Time::default(),
@@ -229,7 +245,7 @@
         }
     }
     pub fn is_empty(&self) -> bool {
-        self.ghosts.is_empty() && self.entries.is_empty()
+        self.orphans.is_empty() && self.entries.is_empty()
     }
     /// Its reports come and our answers do not arrive: it goes from controller to
     /// controller.
@@ -240,21 +256,19 @@
         self.shape
     }
     /// Room beside what may be on it.
-    fn free(&self, shapes: &[Shape], jobs: &BTreeMap<JobId, Job>) -> Need {
+    fn free(&self, shapes: &[Shape]) -> Need {
         let mut free = self.shape.and_then(|s| shapes.get(s)).map(Shape::room).unwrap_or_default();
         for e in self.entries.values().filter(|e| e.may_be_there()) {
             free.sub(&e.need);
         }
-        for (task, _) in &self.ghosts {
-            if let Some(j) = jobs.get(&task.job) {
-                free.sub(&j.need());
-            }
+        for orphan in &self.orphans {
+            free.sub(&orphan.need);
         }
         free
     }
     /// Room that is not promised either: without what was planned into it.
-    fn unpromised(&self, shapes: &[Shape], jobs: &BTreeMap<JobId, Job>) -> Need {
-        let mut free = self.free(shapes, jobs);
+    fn unpromised(&self, shapes: &[Shape]) -> Need {
+        let mut free = self.free(shapes);
         let promised = |e: &&Entry| (e.ahead.is_none() || e.kept) && !e.may_be_there();
         for e in self.entries.values().filter(promised) {
             free.sub(&e.need);
@@ -281,7 +295,7 @@
     progress: Progress,
     next_fresh: u32,
     retry: BTreeMap<u32, Time>,
-    /// Tasks with an entry or a ghost somewhere, and how many.
+    /// Tasks with an entry or an orphan somewhere, and how many.
     live: BTreeMap<u32, u32>,
     /// Run times over the estimate: the sum of logarithms, and how many.
     ratios: (f64, u32),
@@ -302,7 +316,7 @@
     fn waiting(&self) -> u32 {
         self.spec.tasks.saturating_sub(self.progress.count() + self.busy())
     }
-    /// One entry or ghost of the task less; true when none is left.
+    /// One entry or orphan of the task less; true when none is left.
     fn release(&mut self, index: u32) -> bool {
         match self.live.get_mut(&index) {
             Some(n) if *n > 1 => {
@@ -342,6 +356,9 @@
     }
 }
 
+/// What a task takes whose job has no description: a whole machine.
+const UNKNOWN_NEED: Need = Need { cpus: 1e9, gpus: 0.0, memory_gb: 0.0 };
+
 /// What all tasks of a job take together.
 fn size_of(spec: &JobSpec) -> f64 {
     f64::from(spec.tasks) * spec.cpus
@@ -580,7 +597,7 @@
         let patience = self.report_s * 2.5 + 2.0;
         let (mut heard, mut silent) = (0, 0);
         let there =
-            |m: &Machine| !m.ghosts.is_empty() || m.entries.values().any(Entry::may_be_there);
+            |m: &Machine| !m.orphans.is_empty() || m.entries.values().any(Entry::may_be_there);
         for m in self.machines.values().filter(|m| !m.roams(now)) {
             match m.heard.unwrap_or(self.took) {
                 at if now.since(at) <= patience => heard += u32::from(m.heard.is_some()),
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -228,9 +228,11 @@
             making: None,
         };
         for (id, m) in &self.machines {
-            let free = m.unpromised(shapes, &self.jobs);
+            let free = m.unpromised(shapes);
             for (task, e) in &m.entries {
-                if let Some(t) = e.team {
+                // Guard: what is to be stopped counts until the proof that it is gone.
+                let forgotten = e.kill.is_some() && broken!(self.faults, forget_stopped);
+                if let Some(t) = e.team.filter(|_| !forgotten) {
                     round.team_used[t].0 += e.need.cpus;
                     round.team_used[t].1 += e.need.gpus;
                 }
@@ -239,12 +241,15 @@
                     *zones.entry(m.zone.clone()).or_default() += 1;
                 }
             }
-            for (task, _) in &m.ghosts {
-                if let Some(j) = self.jobs.get(&task.job) {
-                    if let Some(t) = settings.team(&j.spec.team) {
-                        round.team_used[t].0 += j.spec.cpus;
-                        round.team_used[t].1 += j.spec.gpus;
-                    }
+            for o in &m.orphans {
+                if let Some(t) = o.team {
+                    round.team_used[t].0 += o.need.cpus;
+                    round.team_used[t].1 += o.need.gpus;
+                }
+                // Guards against `wrong_place`: it may stand in the way of its own job.
+                if self.jobs.get(&o.task.job).is_some_and(|j| j.spec.one_zone || j.spec.spread) {
+                    let zones = round.zones.entry(o.task.job).or_default();
+                    *zones.entry(m.zone.clone()).or_default() += 1;
                 }
             }
             if let Some(shape) = m.shape.filter(|_| free.cpus > EPSILON && self.usable(now, m)) {
@@ -329,7 +334,7 @@
             if m.entries.values().all(|e| e.ahead.is_none()) {
                 continue;
             }
-            let mut free = m.unpromised(shapes, &self.jobs);
+            let mut free = m.unpromised(shapes);
             let kept = |e: &Entry| e.kept && !e.may_be_there();
             m.entries.values().filter(|e| kept(e)).for_each(|e| free.add(&e.need));
             let mut ahead: Vec<(&TaskId, &mut Entry)> =
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -8,6 +8,9 @@
 /// goes with the next.
 const MOST_ORDERS: usize = 400;
 
+/// A worker's reports are no closer together, seconds; a little less, for the way.
+const NEXT_REPORT_S: f64 = 0.4;
+
 /// For so long strangers are counted before they are told of, seconds.
 const STRANGERS_S: f64 = 5.0;
 
@@ -30,6 +33,8 @@
     ours: bool,
     /// Its worker was without an answer for so long that it tried another controller.
     timed_out: bool,
+    /// It is the body of a direct command's answer.
+    direct: bool,
 }
 
 impl Placement {
@@ -62,7 +67,7 @@
         // the report itself, if the copy overtook it, renews the lease from when that
         // was sent, which was before the copy came.)
         if m.last.is_some_and(|l| l >= moment) && !broken!(self.faults, old_reports) {
-            return Vec::new();
+            return self.stops_at_once(report, book);
         }
         m.astray = !ours && m.answered.is_some_and(|at| now.since(at) > PATIENCE_S);
         m.answered = Some(now);
@@ -74,7 +79,15 @@
         if m.heard.is_some() && !newer_tenure {
             self.rhythm.heard(gap_s);
         }
-        m.heard = Some(now);
+        // Guard 3: the first word of a machine in our term may be of any age as long as
+        // it does not carry our token. It is answered, and is no sign of life: reports
+        // that were held up made dead machines of an earlier term live ones. A worker's
+        // own next report, half a second later at the earliest, is one.
+        let first = *m.first_word.get_or_insert(now);
+        let lives = ours || m.heard.is_some() || now.since(first) >= NEXT_REPORT_S;
+        if lives || broken!(self.faults, first_word) {
+            m.heard = Some(now);
+        }
         m.steady = away || gap_s <= self.report_s * 2.0 + 1.0;
         m.shape = shapes.iter().position(|s| s.label == report.shape);
         m.zone.clone_from(&report.yard);
@@ -93,9 +106,14 @@
         if !self.loaded {
             return self.stops_at_once(report, book);
         }
+        // A direct command's answer overtook it: its list is the older one, though it is
+        // answered, and a sign of life.
+        if self.machines.get(&id).is_some_and(|m| m.told.is_some_and(|t| t >= moment)) {
+            return self.stops_at_once(report, book);
+        }
         let timed_out = !away && gap_s > PATIENCE_S.max(self.report_s * 1.4);
-        let newer = Newer { moment, tenure: newer_tenure, ours, timed_out };
-        self.take_in(now, id, newer, report);
+        let newer = Newer { moment, tenure: newer_tenure, ours, timed_out, direct: false };
+        self.take_in(now, id, newer, report, book);
         if !ours {
             // The answer raises the worker's token; other commands wait until a
             // report shows that it has seen it.
@@ -104,6 +122,33 @@
         self.orders(now, id, moment, report, shapes, book)
     }
 
+    /// The body of a direct command's answer, of a machine that is silent: a newer
+    /// report, if it carries our token, by (tenure, tick). It renews no lease and shows no
+    /// way from the worker to us, so that silence goes on; but a machine that reaches
+    /// nobody tells so what has ended. (Of one that reports, the next report says the same
+    /// in half a second, and is answered.)
+    pub fn direct_answer(&mut self, now: Time, report: &Report, book: &JobBook) {
+        let Some(id) = MachineId::parse(&report.host) else { return };
+        let moment = Moment { tenure: report.tenure, tick: report.tick };
+        let ours = report.baton == self.token.0;
+        let silent_s = self.silent_s();
+        let silent = |m: &&mut Machine| m.heard.is_some_and(|h| now.since(h) > silent_s);
+        let Some(m) = self.machines.get_mut(&id).filter(silent) else { return };
+        if !ours || !self.loaded {
+            return;
+        }
+        let newest = m.last.max(m.told);
+        if m.last.is_none() || newest >= Some(moment) {
+            return;
+        }
+        let newer_tenure = newest.is_some_and(|l| l.tenure < moment.tenure);
+        // Apart from `last`: a report that was sent before is still one to be answered,
+        // from which its worker's lease, and so its silence, counts.
+        m.told = Some(moment);
+        let newer = Newer { moment, tenure: newer_tenure, ours, timed_out: false, direct: true };
+        self.take_in(now, id, newer, report, book);
+    }
+
     /// Guard 4: an answer that renews a lease stops each listed task whose job our
     /// copy knows to be over, whether or not the books are read and the worker has
     /// shown our token: it names one attempt, and frees nothing. Answers without it
@@ -125,8 +170,8 @@
         tasks.filter(|(task, _)| over(task)).take(MOST_ORDERS).collect()
     }
 
-    fn take_in(&mut self, now: Time, id: MachineId, newer: Newer, report: &Report) {
-        let Newer { moment, tenure: newer_tenure, ours, timed_out } = newer;
+    fn take_in(&mut self, now: Time, id: MachineId, newer: Newer, report: &Report, book: &JobBook) {
+        let Newer { moment, tenure: newer_tenure, ours, timed_out, direct } = newer;
         let pieces: Vec<(TaskId, &Piece)> =
             report.pieces.iter().filter_map(|p| Some((TaskId::parse(&p.piece)?, p))).collect();
         let tasks: Vec<(TaskId, Attempt, State)> = match self.machines.get(&id) {
@@ -142,7 +187,7 @@
             if let State::Sent(at) = state {
                 let there = listed(*task, *attempt).is_some();
                 arrived |= there;
-                lost |= !there && ours && (newer_tenure || moment > *at);
+                lost |= !there && !direct && ours && (newer_tenure || moment > *at);
             }
         }
         let mut elsewhere = false;
@@ -189,6 +234,9 @@
                 },
                 None => match state {
                     State::Planned | State::Committed => {}
+                    // Guard 3: a direct command may overtake the answer that carries a
+                    // `run`; only the worker's next report shows that it was dropped.
+                    State::Sent(_) if direct && !broken!(self.faults, direct_absence) => {}
                     // A newer tenure forgot all that came before it, and what
                     // an answer to the earlier one said is dropped.
                     State::Sent(_) | State::Seen(_) if newer_tenure && ours => {
@@ -217,7 +265,7 @@
                 },
             }
         }
-        // Ghosts: on the machine, not in our books.
+        // Orphans: on the machine, not in our books.
         let live: BTreeMap<TaskId, Attempt> = pieces
             .iter()
             .filter(|(_, p)| p.status != "exited")
@@ -227,26 +275,37 @@
             let entry = self.machines.get(&id).and_then(|m| m.entries.get(task));
             entry.is_some_and(|e| e.attempt == *attempt)
         };
-        let ghosts: Vec<(TaskId, Attempt)> =
-            live.into_iter().filter(|(task, attempt)| !known(task, attempt)).collect();
+        let orphans: Vec<Orphan> = live
+            .into_iter()
+            .filter(|(task, attempt)| !known(task, attempt))
+            .map(|(task, attempt)| self.orphan(task, attempt, book))
+            .collect();
         let old = match self.machines.get_mut(&id) {
-            Some(m) => std::mem::replace(&mut m.ghosts, ghosts.clone()),
+            Some(m) => std::mem::replace(&mut m.orphans, orphans.clone()),
             None => return,
         };
-        for (task, _) in &ghosts {
-            tracing::debug!("{id} runs {task}, which is not in our books");
-            if let Some(job) = self.jobs.get_mut(&task.job) {
-                *job.live.entry(task.index).or_insert(0) += 1;
+        for o in &orphans {
+            tracing::debug!("{id} runs {}, which is not in our books", o.task);
+            if let Some(job) = self.jobs.get_mut(&o.task.job) {
+                *job.live.entry(o.task.index).or_insert(0) += 1;
             }
         }
         // After a cut hundreds come at once, in reports that were held: one line
         // for all of them.
-        if let Some((task, _)) = ghosts.first().filter(|g| !old.contains(g)) {
-            let example = format!("{task} on {id}");
+        if let Some(o) = orphans.first().filter(|o| !old.contains(o)) {
+            let example = format!("{} on {id}", o.task);
             let strangers = self.strangers.get_or_insert((now, 0, example));
-            strangers.1 += ghosts.len();
+            strangers.1 += orphans.len();
         }
-        self.release_ghosts(now, old);
+        self.release_orphans(now, old);
+    }
+
+    /// Guard: its use counts for its team and its machine, also when its job is over:
+    /// left out, the room of a cancelled task was given away while it was there.
+    fn orphan(&self, task: TaskId, attempt: Attempt, book: &JobBook) -> Orphan {
+        let spec = book.get(task.job).and_then(|e| e.spec.as_deref());
+        let need = spec.map_or(UNKNOWN_NEED, need_of);
+        Orphan { task, attempt, need, team: spec.and_then(|s| self.team(s)) }
     }
 
     /// Says how many tasks were found that the books do not know.
@@ -261,8 +320,8 @@
         }
     }
 
-    fn release_ghosts(&mut self, now: Time, ghosts: Vec<(TaskId, Attempt)>) {
-        for (task, _) in ghosts {
+    fn release_orphans(&mut self, now: Time, orphans: Vec<Orphan>) {
+        for Orphan { task, .. } in orphans {
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 if job.release(task.index) && !job.progress.has(task.index) {
                     job.retry.insert(task.index, now);
@@ -417,7 +476,9 @@
             }
         }
         let room = MOST_ORDERS - orders.len();
-        orders.extend(m.ghosts.iter().filter(|g| !over.contains(g)).take(room).map(stop));
+        let orphans = m.orphans.iter().map(|o| (o.task, o.attempt));
+        let orphans: Vec<_> = orphans.filter(|o| !over.contains(o)).take(room).collect();
+        orders.extend(orphans.iter().map(stop));
         for p in report.pieces.iter().filter(|p| p.status == "exited") {
             if orders.len() >= MOST_ORDERS {
                 break;
@@ -441,7 +502,7 @@
         // What was placed into room that was there goes first, then what others
         // were stopped for, then, the more urgent first, what was placed ahead and
         // fits by now.
-        let mut free = m.free(shapes, &self.jobs);
+        let mut free = m.free(shapes);
         // A kept place that is not committed yet is nobody else's either.
         for e in m.entries.values().filter(|e| e.kept && e.state == State::Planned) {
             free.sub(&e.need);
@@ -506,6 +567,26 @@
         calls
     }
 
+    /// Silent for longer than two reports take.
+    fn silent_s(&self) -> f64 {
+        self.report_s * 2.0 + 1.0
+    }
+
+    /// Machines with tasks that fell silent: perhaps they reach nobody, and can be
+    /// reached. They are asked in turn, and told once more what is to stop there.
+    pub fn silent_with_tasks(&self, now: Time) -> Vec<(MachineId, SocketAddrV4, u64, Vec<Order>)> {
+        let quiet = |m: &Machine| m.heard.is_some_and(|h| now.since(h) > self.silent_s());
+        let there = |m: &Machine| m.entries.values().any(Entry::may_be_there);
+        let machines = self.machines.iter().filter(|(_, m)| m.synced && quiet(m) && there(m));
+        let call = |(id, m): (&MachineId, &Machine)| {
+            let stop = |(_, e): &(&TaskId, &Entry)| e.may_be_there() && e.kill.is_some();
+            let kills = m.entries.iter().filter(stop).take(MOST_ORDERS);
+            let orders = kills.map(|(t, e)| order("kill", *t, e.attempt, e.kill)).collect();
+            Some((*id, m.endpoint?, m.last?.tenure, orders))
+        };
+        machines.filter_map(call).collect()
+    }
+
     /// A result counts even if we lost track of its task, and may be cleared
     /// only once the state service knows it.
     fn keeps_result(&mut self, task: TaskId) -> bool {
@@ -535,7 +616,7 @@
         for task in tasks {
             self.end(now, id, task, false, 0.0);
         }
-        self.drop_ghosts(now, id);
+        self.drop_orphans(now, id);
         if let Some(m) = self.machines.get_mut(&id) {
             m.draining = true;
             m.synced = false;
@@ -547,12 +628,12 @@
         }
     }
 
-    fn drop_ghosts(&mut self, now: Time, id: MachineId) {
-        let ghosts = match self.machines.get_mut(&id) {
-            Some(m) => std::mem::take(&mut m.ghosts),
+    fn drop_orphans(&mut self, now: Time, id: MachineId) {
+        let orphans = match self.machines.get_mut(&id) {
+            Some(m) => std::mem::take(&mut m.orphans),
             None => return,
         };
-        self.release_ghosts(now, ghosts);
+        self.release_orphans(now, orphans);
     }
 
     /// Guard 3, silence: a worker whose last answered report is more than
@@ -567,7 +648,7 @@
             false => self.inherited_until,
         };
         for (id, m) in &self.machines {
-            if m.entries.is_empty() && m.ghosts.is_empty() {
+            if m.is_empty() {
                 if m.heard.is_none_or(|h| now.since(h) > self.lease_s * 6.0)
                     && now.since(self.took) > self.lease_s * 6.0
                 {
@@ -631,7 +712,7 @@
             for task in tasks {
                 self.end(now, id, task, false, 0.0);
             }
-            self.drop_ghosts(now, id);
+            self.drop_orphans(now, id);
         }
     }
 }
@@ -787,7 +868,7 @@
             assert!(place.report(at(NOW + 1.0), &old, &[], &book).is_empty());
         }
         let id = MachineId::parse("n-000001").expect("a machine");
-        assert_eq!(place.machine(id).expect("known").ghosts.len(), 2, "nothing was freed");
+        assert_eq!(place.machine(id).expect("known").orphans.len(), 2, "nothing was freed");
         let mut odd = report(1, 9, &[]);
         odd.host = "nobody".into();
         assert!(place.report(at(NOW), &odd, &[], &book).is_empty());
--- a/crates/controller/src/placement/room.rs
+++ b/crates/controller/src/placement/room.rs
@@ -256,7 +256,7 @@
             let Some(s) = m.shape.filter(|_| self.usable(now, m)) else { continue };
             let Some(shape) = round.shapes.get(s) else { continue };
             by_shape[s] += shape.cpus;
-            let mut free = m.unpromised(round.shapes, &self.jobs);
+            let mut free = m.unpromised(round.shapes);
             let (mut yields, mut ends) = (Vec::new(), Vec::new());
             for (task, e) in &m.entries {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -3,15 +3,17 @@
 //! the protocol. After every step the protocol's rules are checked against
 //! what really is on the machines, not against what the controllers believe.
 
-use crate::rules::OnMachines;
+use crate::rules::{OnMachines, Place};
 use crate::stopped::{self, Stops};
+use crate::troubles::Troubles;
+use crate::waiting::Waiting;
 use beamhinge_controller::faults::Faults;
 use beamhinge_controller::node::Node;
 use beamhinge_operators::messages::What as Decided;
 use beamhinge_standins::cloud::Cloud;
 use beamhinge_standins::state::State;
 use beamhinge_standins::user::{Next, Told, What};
-use beamhinge_standins::worker::Worker;
+use beamhinge_standins::worker::{Happened, Worker};
 use beamhinge_standins::{decode, Doubles, JobPlan, Us, SECOND};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Dest, Out, Service};
@@ -96,6 +98,12 @@
     WorkerStep {
         machine: u64,
     },
+    /// A question of a user who looks closely: asked once, at this node.
+    UserLooks {
+        job: String,
+        what: What,
+        node: usize,
+    },
     UserSends {
         job: String,
         what: What,
@@ -116,6 +124,13 @@
     Armed(Vec<String>),
 }
 
+impl Event {
+    /// A copy of a report arrives at a controller: nobody waits for its answer.
+    pub fn copy(machine: u64, node: usize, body: Vec<u8>) -> Event {
+        Event::ReportArrives { machine, node, serial: COPY, body }
+    }
+}
+
 /// A request at an operators' door, asked again while it is told to come back.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -136,7 +151,7 @@
 }
 
 enum Caller {
-    User { job: String, what: What, since: Us, asked: Us },
+    User { job: String, what: What, since: Us, asked: Us, look: bool },
     Worker { machine: u64, serial: u64 },
     Operator(Question),
 }
@@ -201,6 +216,15 @@
     /// Part of the messages of which a copy comes late, by how much at most, and
     /// until when. Requests that were carried out are repeated likewise.
     pub copies: (f64, Us, Us),
+    /// Troubles with state of their own.
+    pub troubles: Troubles,
+    /// Jobs that wait beside room that fits, once all troubles are over.
+    pub waiting: Waiting,
+    /// Tasks that began after a user was told that their job is cancelled.
+    pub late_starts: u64,
+    /// Jobs that cannot run or lack a field, and those of them that were accepted.
+    pub odd: BTreeSet<String>,
+    pub invalid: BTreeSet<String>,
     /// When the last trouble ended: from then on every question has an answer.
     pub healed: Option<Us>,
     /// Users who ask about this job are told nothing: for the check of that rule.
@@ -280,6 +304,11 @@
             block: None,
             asks_at: None,
             copies: (0.0, 0, 0),
+            troubles: Troubles::default(),
+            waiting: Waiting::default(),
+            late_starts: 0,
+            odd: BTreeSet::new(),
+            invalid: BTreeSet::new(),
             healed: None,
             untold: None,
             cancelled_left: 0.0,
@@ -345,6 +374,7 @@
             self.callers.keys().filter(|(n, _)| *n == i).copied().collect();
         for key in gone {
             match self.callers.remove(&key) {
+                Some(Caller::User { look: true, .. }) => {}
                 Some(Caller::User { job, what, since, .. }) => self.retry(job, what, since, 1.0),
                 Some(Caller::Operator(q)) => self.ask_again(q),
                 Some(Caller::Worker { machine, serial }) => {
@@ -390,6 +420,7 @@
         if let Far::Peer(p) = far {
             broken.extend(self.cuts.get(&(p, what.to_string())));
         }
+        let at = at + self.link_delay();
         let area = self.area(node);
         if elsewhere != Some(area) {
             broken.extend(self.zone_cuts.get(area));
@@ -606,8 +637,8 @@
             }
             Out::Answer { to, status, body, .. } => {
                 match self.callers.remove(&(i, to.generation)) {
-                    Some(Caller::User { job, what, since, asked }) => {
-                        self.user_answered(job, what, (since, asked), status, &body)
+                    Some(Caller::User { job, what, since, asked, look }) => {
+                        self.user_answered(job, what, (since, asked), look, status, &body)
                     }
                     Some(Caller::Operator(q)) => {
                         self.answers.insert(q.name, (status, decode(&body)));
@@ -695,6 +726,7 @@
                 if block != self.block.as_ref() {
                     self.block = block.cloned();
                     self.happened("take");
+                    self.deliver_kept();
                 }
                 self.watch_at(self.now);
             }
@@ -725,7 +757,10 @@
                 for gone in self.cloud.take_gone() {
                     self.given_back(node, gone, late);
                 }
-                if let Some(at) = self.passes(node, Far::Cloud, self.now + 50_000) {
+                let part = self.troubles.lose_cloud;
+                let lost = part > 0.0 && method != Method::Get && self.rng.gen_bool(part);
+                if let Some(at) = self.passes(node, Far::Cloud, self.now + 50_000).filter(|_| !lost)
+                {
                     self.push(at, Event::ToNode { node, life, call, reply: Some(reply) });
                 }
             }
@@ -794,11 +829,19 @@
                 }
             }
             Event::UserSends { job, what, since } => self.user_sends(job, what, since),
+            Event::UserLooks { job, what, node } => {
+                if self.nodes[node].is_some() && self.told.get(&job).is_some_and(|t| t.accepted) {
+                    self.ask(node, job, what, self.now, true);
+                }
+            }
             Event::UserGivesUp { request } => {
                 let key = self.callers.keys().find(|(_, r)| *r == request).copied();
-                if let Some(Caller::User { job, what, since, .. }) =
+                if let Some(Caller::User { job, what, since, look, .. }) =
                     key.and_then(|k| self.callers.remove(&k))
                 {
+                    if look {
+                        return;
+                    }
                     self.unanswered += 1;
                     self.retry(job, what, since, 1.0);
                 }
@@ -828,7 +871,7 @@
         let Some(w) = self.workers.get_mut(&machine) else { return };
         let Some((node, serial, body)) = w.send(self.now, doubles) else { return };
         let node = node % count;
-        let cut = self.now < w.cut_until;
+        let cut = self.now < w.cut_until.max(w.mute_until);
         let every = (w.report_s * 1e6) as u64;
         self.push(self.now + every, Event::Report { machine });
         self.push(self.now + 4 * SECOND, Event::ReportTimedOut { machine, serial });
@@ -837,9 +880,9 @@
             let zone = self.worker_zone(machine);
             if let Some(at) = self.passes(node, Far::Worker(&zone), self.now + 2_000) {
                 let body = wire::encode(&body);
+                self.keep_report(machine, &body);
                 if let Some(again) = self.copied() {
-                    let (body, serial) = (body.clone(), COPY);
-                    self.push(again, Event::ReportArrives { machine, node, serial, body });
+                    self.push(again, Event::copy(machine, node, body.clone()));
                 }
                 self.push(at, Event::ReportArrives { machine, node, serial, body });
             }
@@ -897,7 +940,12 @@
         }
         let any = up[self.rng.gen_range(0..up.len())];
         let node = self.asks_at.take().filter(|n| up.contains(n)).unwrap_or(any);
-        if self.healed.is_some() {
+        self.ask(node, job, what, since, false);
+    }
+
+    /// A user's question goes to this node; who only looks asks once.
+    fn ask(&mut self, node: usize, job: String, what: What, since: Us, look: bool) {
+        if self.healed.is_some() && !look {
             self.asked.entry(job.clone()).or_insert(self.now);
         }
         let told = self.told.entry(job.clone()).or_default();
@@ -915,7 +963,7 @@
         };
         let serial = self.next_request + 1;
         let asked = self.now;
-        self.callers.insert((node, serial), Caller::User { job, what, since, asked });
+        self.callers.insert((node, serial), Caller::User { job, what, since, asked, look });
         let patience = if what == What::Poll { 2 } else { 5 } * SECOND;
         self.push(self.now + patience, Event::UserGivesUp { request: serial });
         self.request(node, method, &path, body);
@@ -934,6 +982,7 @@
         job: String,
         what: What,
         (since, asked): (Us, Us),
+        look: bool,
         status: u16,
         body: &[u8],
     ) {
@@ -951,9 +1000,18 @@
             }
         }
         let told = self.told.entry(job.clone()).or_default();
-        let before = told.cancelled;
+        let before = (told.accepted, told.over);
+        let cancelled = told.cancelled;
         let (broken, next) = told.answered((now, asked), what, status, &state, done >= total);
-        let cancelled = told.cancelled != before;
+        let news = (told.accepted, told.over) != before;
+        let cancelled = told.cancelled != cancelled;
+        if told.accepted && self.odd.contains(&job) {
+            self.invalid.insert(job.clone());
+        }
+        if news {
+            self.look_closely(&job);
+        }
+        let next = next.filter(|_| !look);
         if cancelled {
             self.happened("cancelled");
         }
@@ -984,7 +1042,7 @@
     }
 
     /// Jobs that were accepted and should be done.
-    fn counts(&self, id: &str, plan: &JobPlan) -> bool {
+    pub fn counts(&self, id: &str, plan: &JobPlan) -> bool {
         let told = self.told.get(id);
         let kept = told.is_some_and(|t| t.accepted && !t.asked_cancel);
         kept && !plan.fails && plan.body["jobKind"] == "batch"
@@ -1032,7 +1090,7 @@
         let woken = self.now >= w.hang_until + lease || w.answered_since(w.hang_until);
         let ill = (w.hang_until > 0 && !woken)
             || self.now < w.cut_until
-            || self.now < w.deaf_until + lease
+            || self.now < w.deaf_until.max(w.mute_until) + lease
             || w.sick
             || w.slow > 1.0
             || w.reclaim_at.is_some();
@@ -1079,9 +1137,13 @@
         self.zone_cuts.values_mut().for_each(|c| c.0 = c.0.min(now));
         self.frozen.iter_mut().for_each(|f| *f = (*f).min(now));
         (self.lose_replies, self.late) = (0.0, 0.0);
+        self.troubles = Troubles::default();
         self.state_slow = (1.0, 0);
         self.copies.2 = self.copies.2.min(now);
-        self.workers.values_mut().for_each(|w| w.deaf_until = w.deaf_until.min(now));
+        for w in self.workers.values_mut() {
+            w.deaf_until = w.deaf_until.min(now);
+            w.mute_until = w.mute_until.min(now);
+        }
         self.state.down_until = self.state.down_until.min(now);
         self.cloud.down_until = self.cloud.down_until.min(now);
         self.cloud.part = 1.0;
@@ -1147,7 +1209,7 @@
             .collect()
     }
 
-    fn results_of(&self, job: &str) -> u64 {
+    pub fn results_of(&self, job: &str) -> u64 {
         self.results.get(job).map_or(0, |s| s.len() as u64)
     }
 
@@ -1170,11 +1232,12 @@
         let pieces = w.on_machine().map(|t| t.piece.clone()).collect();
         let teams = &self.settings[0].params.teams;
         let limit = |name: &str| teams.iter().find(|t| t.name == name).map_or(0.0, |t| t.cpus_max);
-        let broken = self.on_machines.set(machine, &w.zone, w.spot, pieces, &self.jobs, limit);
+        let broken = self.on_machines.set(machine, Place::of(w), pieces, &self.jobs, limit);
         let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
         let expired = std::mem::take(&mut w.expired);
         self.tally.expired += expired;
-        let ill = self.now < w.hang_until.max(w.cut_until).max(w.deaf_until) + lease;
+        let ill =
+            self.now < w.hang_until.max(w.cut_until).max(w.deaf_until).max(w.mute_until) + lease;
         if expired > 0 && !ill && self.now > self.explained_until {
             self.tally.unexplained += expired;
         }
@@ -1194,12 +1257,25 @@
                 }
             }
         }
+        let told = |piece: &str| {
+            let job = piece.split('/').next().unwrap_or("");
+            self.told.get(job).and_then(|t| t.cancelled)
+        };
+        let late = events.iter().filter(|e| e.what == Happened::Began && told(&e.piece).is_some());
+        self.late_starts += late.count() as u64;
         // Results are kept outside the machines.
+        let mut ended = Vec::new();
         for piece in w.finished.drain(..) {
             if let Some((job, index)) = piece.split_once('/') {
-                self.results.entry(job.to_string()).or_default().insert(index.to_string());
+                let results = self.results.entry(job.to_string()).or_default();
+                let first = results.insert(index.to_string());
+                let total = self.jobs.get(job).and_then(|j| j.body["pieces"].as_u64());
+                if first && total == Some(results.len() as u64) {
+                    ended.push(job.to_string());
+                }
             }
         }
+        ended.into_iter().for_each(|job| self.job_ended(&job));
         for (rule, what) in broken {
             self.break_rule(rule, &what);
         }
@@ -1217,6 +1293,7 @@
     fn look_at_the_clock(&mut self) {
         self.stops.look(self.now);
         self.look_for_forgotten();
+        self.look_for_waiting();
         let cancel = (self.settings[0].params.workers.cancel_s * 1e6) as Us;
         let told = |job: &str| self.told.get(job).and_then(|t| t.cancelled);
         let since = self.on_machines.jobs().filter_map(|(job, _)| told(job));
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod rules;
 pub mod scenario;
 pub mod stopped;
+pub mod troubles;
+pub mod waiting;
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -1,6 +1,8 @@
 //! The protocol's rules about what is on machines, kept up with each change.
 
+use beamhinge_standins::worker::Worker;
 use beamhinge_standins::JobPlan;
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A rule that was broken, and by what.
@@ -23,6 +25,27 @@
     teams: BTreeMap<String, f64>,
 }
 
+/// What of a machine a job may ask for.
+pub struct Place<'a> {
+    pub shape: &'a str,
+    pub zone: &'a str,
+    pub spot: bool,
+}
+
+impl Place<'_> {
+    pub fn of(w: &Worker) -> Place<'_> {
+        Place { shape: w.shape(), zone: &w.zone, spot: w.spot }
+    }
+
+    /// Whether a job may use such a machine at all.
+    pub fn allows(&self, body: &Value) -> bool {
+        let shapes = body["shapes"].as_array();
+        shapes.is_none_or(|s| s.iter().any(|l| l.as_str() == Some(self.shape)))
+            && body["yard"].as_str().is_none_or(|z| z == self.zone)
+            && (!self.spot || body["loaners"].as_bool().unwrap_or(true))
+    }
+}
+
 fn job_of(piece: &str) -> &str {
     piece.split('/').next().unwrap_or("")
 }
@@ -32,8 +55,7 @@
     pub fn set(
         &mut self,
         machine: u64,
-        zone: &str,
-        spot: bool,
+        place: Place,
         pieces: Vec<String>,
         plans: &BTreeMap<String, JobPlan>,
         limit: impl Fn(&str) -> f64,
@@ -57,10 +79,9 @@
             }
             let of = self.jobs.entry(job.to_string()).or_default();
             of.pieces.insert(piece.clone());
-            *of.zones.entry(zone.to_string()).or_default() += 1;
+            *of.zones.entry(place.zone.to_string()).or_default() += 1;
             let total = body["pieces"].as_u64().unwrap_or(0);
-            let wrong = spot && !body["loaners"].as_bool().unwrap_or(true)
-                || body["yard"].as_str().is_some_and(|z| z != zone)
+            let wrong = !place.allows(body)
                 || body["oneZone"].as_bool() == Some(true) && of.zones.len() > 1
                 || body["apart"].as_bool() == Some(true)
                     && of.zones.values().any(|n| *n > total.div_ceil(2));
@@ -68,7 +89,7 @@
                 broken.push(("wrong_place", piece.clone()));
             }
         }
-        self.of.insert(machine, (zone.to_string(), pieces));
+        self.of.insert(machine, (place.zone.to_string(), pieces));
         broken
     }
 
@@ -122,6 +143,9 @@
             ("job-1", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "apart": true})),
             ("job-2", json!({"owner": "one", "vcpus": 4.0, "pieces": 4, "oneZone": true})),
             ("job-3", json!({"owner": "two", "vcpus": 1.0, "pieces": 4, "loaners": false})),
+            ("job-4", json!({"owner": "two", "vcpus": 1.0, "pieces": 4, "shapes": ["c8", "c32"]})),
+            ("job-5", json!({"owner": "two", "vcpus": 1.0, "pieces": 4, "shapes": ["c32"]})),
+            ("job-6", json!({"owner": "two", "vcpus": 1.0, "pieces": 4, "yard": "north"})),
         ]
         .map(|(id, body)| (id.to_string(), plan(body)))
         .into()
@@ -133,7 +157,8 @@
         let mut set = |m: u64, zone: &str, pieces: &[&str]| -> Vec<&'static str> {
             let pieces = pieces.iter().map(|p| (*p).to_string()).collect();
             let limit = |t: &str| if t == "one" { 12.0 } else { 0.0 };
-            let broken = on.set(m, zone, true, pieces, &plans, limit);
+            let place = Place { shape: "c8", zone, spot: true };
+            let broken = on.set(m, place, pieces, &plans, limit);
             broken.into_iter().map(|(rule, _)| rule).collect()
         };
         assert!(set(1, "north", &["job-1/0", "job-1/1"]).is_empty());
@@ -145,5 +170,8 @@
         assert!(set(1, "north", &["job-2/0"]).is_empty());
         assert_eq!(set(3, "south", &["job-2/1"]), ["wrong_place"]);
         assert_eq!(set(4, "south", &["job-3/1"]), ["wrong_place"]);
+        assert!(set(4, "south", &["job-4/1"]).is_empty());
+        assert_eq!(set(4, "south", &["job-5/1"]), ["wrong_place"], "another type");
+        assert_eq!(set(4, "south", &["job-6/1"]), ["wrong_place"], "another zone");
     }
 }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -10,6 +10,7 @@
 //! this cannot be says `unsettled REASON`.
 
 use crate::cluster::{Due, Event, Question, Sim, Tally};
+use crate::waiting::WAITS_S;
 use beamhinge_controller::faults::Faults;
 use beamhinge_standins::cloud::Kind;
 use beamhinge_standins::user::What;
@@ -52,6 +53,13 @@
     pub violations: Vec<String>,
     /// Jobs that were not done in time after the last trouble.
     pub stuck: Vec<String>,
+    /// Jobs that waited too long beside room that fits, after the last trouble.
+    pub left_waiting: Vec<String>,
+    /// Tasks that began after a user was told that their job is cancelled.
+    pub late_starts: u64,
+    /// The longest after a user was told a job's end that an older answer still came,
+    /// to a question asked before: no rule, seconds.
+    pub late_older_s: f64,
     /// Machines that were still rented when nothing was left to do.
     pub idle_machines: usize,
     /// Seconds from the last trouble until all was done.
@@ -148,7 +156,7 @@
         "urgency": option(words, "urgency").unwrap_or("standard"),
         "pieces": tasks, "vcpus": number(words, "cpus", 2.0)?, "cards": 0,
         "memoryGb": number(words, "mem", 1.0)?, "bundle": option(words, "image").unwrap_or("img"), "imageGb": 1.0,
-        "yard": option(words, "zone"), "oneZone": flag("oneZone"), "apart": flag("apart"),
+        "yard": option(words, "zone"), "shapes": option(words, "shapes").map(|s| s.split(',').collect::<Vec<_>>()), "oneZone": flag("oneZone"), "apart": flag("apart"),
         "loaners": !flag("noSpot"), "expectS": expect_s,
         "snapshotEveryS": if flag("saves") { 5.0 } else { 0.0 }, "snapshotS": if flag("saves") { 1.0 } else { 0.0 }, "dueS": option(words, "due").and_then(|d| d.parse::<f64>().ok()),
     }))
@@ -165,11 +173,25 @@
     let id = words.first().ok_or("submit needs a job")?;
     let run_s = number(words, "run", 5.0)?;
     let tasks = number(words, "tasks", 1.0)? as u64;
-    let body = plan_body(id, words, tasks, number(words, "expect", run_s)?)?;
+    let mut body = plan_body(id, words, tasks, number(words, "expect", run_s)?)?;
+    // One that lacks a field, or that no machine and no limit allows.
+    if let (Some(field), Some(map)) = (option(words, "lack"), body.as_object_mut()) {
+        map.remove(field);
+    }
+    if words.contains(&"odd") {
+        sim.odd.insert((*id).to_string());
+    }
     plan_job(sim, body, run_s, words.contains(&"fails"), sim.now);
     Ok(())
 }
 
+/// WHAT PART for=SECONDS: that part of what is sent, until then.
+fn part_until(sim: &Sim, words: &[&str]) -> Result<(f64, Us), Wrong> {
+    let part: f64 = words.get(1).and_then(|w| w.parse().ok()).ok_or("which part?")?;
+    let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
+    Ok((part.clamp(0.0, 1.0), until))
+}
+
 fn node(sim: &Sim, word: &str) -> Result<usize, Wrong> {
     match word {
         "leader" => Ok(sim.holder().unwrap_or(0)),
@@ -237,10 +259,9 @@
         "copies" => {
             // copies PART most=SECONDS for=SECONDS: of reports, frames, commands and
             // requests that change something, a copy comes late.
-            let part: f64 = arg(1)?.parse().map_err(|_| "copies PART")?;
+            let (part, until) = part_until(sim, words)?;
             let most = (number(words, "most", 10.0)? * 1e6) as Us;
-            let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
-            sim.copies = (part.clamp(0.0, 1.0), most, until);
+            sim.copies = (part, most, until);
         }
         "crash-all" => {
             (0..sim.settings.len()).for_each(|i| sim.crash(i));
@@ -336,7 +357,9 @@
         "refuse-pages" => sim.state.refuses = ("p/", sim.now + seconds(arg(1)?)?),
         "lose-replies" => sim.lose_replies = number(words, "part", 0.2)?,
         "late-commits" => sim.late = number(words, "part", 0.2)?,
-        "calm" => (sim.lose_replies, sim.late) = (0.0, 0.0),
+        "calm" => {
+            (sim.lose_replies, sim.late, sim.troubles.lose_cloud) = (0.0, 0.0, 0.0);
+        }
         "forget-changes" => sim.state.keep_changes = number(words, "keep", 3.0)? as usize,
         "stuck-boots" => sim.cloud.stuck = number(words, "count", 2.0)? as u32,
         "stray" => {
@@ -346,8 +369,24 @@
             let _ = sim.cloud.take_booted();
             sim.push(sim.now + SECOND, Event::Report { machine: id });
         }
+        "keep-reports" => {
+            // keep-reports PART for=SECONDS: copies that reach all at the next take.
+            sim.troubles.keeps = part_until(sim, words)?;
+        }
+        "cancel-at-end" => sim.troubles.at_end = part_until(sim, words)?,
+        "close-looks" => sim.troubles.looks = sim.now + seconds(arg(1)?)?,
+        "cancel-now" => {
+            let hang = (number(words, "hang", 0.0)? * 1e6) as Us;
+            sim.cancel_now(number(words, "count", 5.0)? as usize, hang);
+        }
+        "links-slow" => {
+            // links-slow SECONDS for=SECONDS: every message of a controller takes longer.
+            let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
+            sim.troubles.slow = (seconds(arg(1)?)?, until);
+        }
+        "lose-cloud-replies" => sim.troubles.lose_cloud = number(words, "part", 0.2)?,
         what @ ("take" | "notice" | "hang" | "cut-machines" | "sick" | "slow" | "die" | "deaf"
-        | "reboot") => {
+        | "mute" | "reboot") => {
             // The machines with the most on them, as the bench would choose.
             let count = number(words, "count", 1.0)? as usize;
             let until = sim.now + (number(words, "for", 10.0)? * 1e6) as u64;
@@ -375,6 +414,7 @@
                     "hang" => w.hang_until = until,
                     "cut-machines" => w.cut_until = until,
                     "deaf" => w.deaf_until = until,
+                    "mute" => w.mute_until = until,
                     "reboot" if words.contains(&"anew") => w.begin_anew(sim.now),
                     "reboot" => w.reboot(sim.now),
                     "sick" => w.sick = true,
@@ -521,6 +561,12 @@
     }
     outcome.largest = sim.largest_wait();
     outcome.cancelled_left = sim.cancelled_left;
+    outcome.late_starts = sim.late_starts;
+    let older = sim.told.values().map(|t| t.late_older).max().unwrap_or(0);
+    outcome.late_older_s = older as f64 / 1e6;
+    if !sim.invalid.is_empty() {
+        outcome.wrong.push(format!("accepted though they are not sound: {:?}", sim.invalid));
+    }
     outcome.unanswered_s = sim.longest_open as f64 / 1e6;
     outcome.violations = sim.violations();
     if !outcome.violations.is_empty() {
@@ -536,6 +582,10 @@
             "healthy-returned-at-most" => outcome.tally.healthy_returned as f64,
             "unexplained-at-most" => outcome.tally.unexplained as f64,
             "settled-within" => outcome.settled_s,
+            "late-starts-at-most" => outcome.late_starts as f64,
+            "older-within" => outcome.late_older_s,
+            "waits-beside-room-at-most" => sim.waiting.longest as f64 / 1e6,
+            "answered-within" => outcome.unanswered_s,
             "largest-begin-within" => outcome.largest.as_ref().map_or(0.0, |(_, s)| *s),
             "expired-at-most" => outcome.tally.expired as f64,
             "stopped-at-most" => sim.stops.stopped as f64,
@@ -587,6 +637,11 @@
         sim.run_until(sim.now + 2 * SECOND);
         while sim.due_script().is_some() {}
     }
+    outcome.left_waiting = sim.waiting.left.iter().cloned().collect();
+    if !outcome.left_waiting.is_empty() {
+        let jobs = &outcome.left_waiting;
+        outcome.wrong.push(format!("left waiting {WAITS_S} s beside room that fits: {jobs:?}"));
+    }
     if !outcome.stuck.is_empty() {
         outcome
             .wrong
@@ -627,6 +682,7 @@
     let every = number(words, "every", 1.0)?;
     let (tasks, run) = (number(words, "tasks", 4.0)?, number(words, "run", 10.0)?);
     let broken = number(words, "broken", 0.0)?;
+    let cancelled = number(words, "cancelled", 0.0)?;
     for i in 0..count {
         let width = (tasks * sim.rng.gen_range(0.5..1.5)).round().max(1.0);
         let run_s = run * sim.rng.gen_range(0.6..1.4);
@@ -635,6 +691,11 @@
         // A job with a mistake; its user sees that after a while, and cancels it.
         let broken = broken > 0.0 && sim.rng.gen_bool(broken.min(1.0));
         plan_job(sim, body, run_s, broken, at);
+        if cancelled > 0.0 && sim.rng.gen_bool(cancelled.min(1.0)) {
+            let seen = at + (sim.rng.gen_range(0.2..run * 1.2 + 0.3) * 1e6) as Us;
+            let job = format!("job-{}", first + i);
+            sim.push(seen, Event::UserSends { job, what: What::Cancel, since: seen });
+        }
         if broken {
             let seen = at + sim.rng.gen_range(40..100) * SECOND;
             let job = format!("job-{}", first + i);
@@ -706,6 +767,10 @@
             "healthy-returned-at-most"
             | "unexplained-at-most"
             | "settled-within"
+            | "late-starts-at-most"
+            | "older-within"
+            | "waits-beside-room-at-most"
+            | "answered-within"
             | "largest-begin-within"
             | "expired-at-most"
             | "stopped-at-most"
--- a/crates/standins/src/user.rs
+++ b/crates/standins/src/user.rs
@@ -35,6 +35,9 @@
     pub last_status: String,
     pub final_status: Option<u16>,
     pub submitted: bool,
+    /// The longest after he was told its end that an older answer still came, though
+    /// to a question asked before.
+    pub late_older: Us,
 }
 
 impl Told {
@@ -62,6 +65,10 @@
                 // Of two ends one is wrong, whenever it was asked.
                 let final_state = matches!(state, "done" | "cancelled");
                 let after = final_state || self.over.is_some_and(|told| asked >= told);
+                if !final_state {
+                    let since = self.over.map_or(0, |told| now - told);
+                    self.late_older = self.late_older.max(since);
+                }
                 let back = (after && self.done && state != "done")
                     || (after && self.cancelled.is_some() && state != "cancelled")
                     || (state == "cancelled" && !self.asked_cancel);
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -57,6 +57,8 @@
     pub hang_until: Us,
     /// Its reports go out, and neither answers nor commands reach it until then.
     pub deaf_until: Us,
+    /// Its reports reach no controller, while direct commands reach it, until then.
+    pub mute_until: Us,
     pub reclaim_at: Option<Us>,
     pub sick: bool,
     pub slow: f64,
@@ -96,6 +98,7 @@
             cut_until: 0,
             hang_until: 0,
             deaf_until: 0,
+            mute_until: 0,
             reclaim_at: None,
             sick: false,
             slow: 1.0,
@@ -117,6 +120,24 @@
         self.tasks.iter().filter(|t| t.status == "running" || t.status == "saving")
     }
 
+    /// Tasks that take their room: those too that still fetch their image.
+    pub fn taking_room(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.iter().filter(|t| t.status != "exited")
+    }
+
+    /// CPUs and memory beside what takes room.
+    pub fn free(&self, jobs: &BTreeMap<String, JobPlan>) -> (f64, f64) {
+        self.taking_room().fold(self.room, |free, t| {
+            let plan = jobs.get(t.piece.split('/').next().unwrap_or(""));
+            let of = |k: &str| plan.and_then(|p| p.body[k].as_f64()).unwrap_or(0.0);
+            (free.0 - of("vcpus"), free.1 - of("memoryGb"))
+        })
+    }
+
+    pub fn shape(&self) -> &str {
+        &self.shape
+    }
+
     fn expire(&mut self, now: Us) {
         if now > self.renewed + self.lease {
             for t in self.tasks.drain(..).filter(|t| t.status == "running" || t.status == "saving")
@@ -287,20 +308,14 @@
                 }
                 let job = piece.split('/').next().unwrap_or("");
                 let plan = jobs.get(job);
-                let live = self.tasks.iter().filter(|t| t.status != "exited");
-                let used = live.clone().fold((0.0, 0.0), |sum, t| {
-                    let b = jobs.get(t.piece.split('/').next().unwrap_or("")).map(|p| &p.body);
-                    let of = |k: &str| b.and_then(|b| b[k].as_f64()).unwrap_or(0.0);
-                    (sum.0 + of("vcpus"), sum.1 + of("memoryGb"))
-                });
-                let refusal = if live.clone().any(|t| t.piece == piece) {
+                let free = self.free(jobs);
+                let refusal = if self.taking_room().any(|t| t.piece == piece) {
                     Some("in_use")
                 } else if plan.is_none() {
                     Some("unknown")
                 } else if plan.is_some_and(|p| {
                     let of = |k: &str| p.body[k].as_f64().unwrap_or(0.0);
-                    used.0 + of("vcpus") > self.room.0 + 1e-6
-                        || used.1 + of("memoryGb") > self.room.1 + 1e-6
+                    of("vcpus") > free.0 + 1e-6 || of("memoryGb") > free.1 + 1e-6
                 }) {
                     Some("full")
                 } else {
--- a/crates/vocab/src/peers.rs
+++ b/crates/vocab/src/peers.rs
@@ -1,6 +1,6 @@
 //! What controllers tell each other: `postcard` frames behind a length.
 //!
-//! Nothing here carries a rule: a holder that hears of a higher token stops a
+//! Nothing here is proof: a holder that hears of a higher token stops a
 //! little sooner than its workers would have made it. Progress is for display, and the age of the
 //! last exchange with the state service lets a node that alone is cut off from
 //! it step out of the users' way.
@@ -31,6 +31,9 @@
     /// From a holder that commits nothing though there is work: whoever takes
     /// over is to begin with small steps.
     Stuck { label: String },
+    /// Jobs whose end a user was told here: older answers to questions that wait
+    /// elsewhere are not given any more. Word, not proof: nobody takes the end from it.
+    Ended { jobs: Vec<String> },
 }
 
 impl Frame {
@@ -76,7 +79,8 @@
         let machines = vec![long.clone(); Frame::MOST_NAMES];
         let hears = Frame::Hears { label: "x".repeat(200), machines };
         let rows = vec![("job-123456789012345678".to_string(), u32::MAX, u32::MAX); 4_000];
-        for frame in [hears, Frame::Progress(rows)] {
+        let ended = Frame::Ended { jobs: vec!["job-123456789012345678".into(); Frame::MOST_NAMES] };
+        for frame in [hears, ended, Frame::Progress(rows)] {
             let mut bytes = encode(&frame);
             assert!(bytes.len() <= FRAME_LIMIT, "{}", bytes.len());
             assert_eq!(take(&mut bytes).ok().flatten(), Some(frame));
