--- /dev/null
+++ b/crates/controller/src/fleet/wanted/tests.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+fn want(pool: f64, ready: f64, short: f64, ordinary: f64) -> Want {
+    Want { pool, timely: 0.0, ready, short, ordinary }
+}
+
+#[test]
+fn ordinary_machines_are_bought_only_where_spot_is_refused() {
+    assert_eq!(machines_wanted(&want(6.5, 0.0, 2.5, 0.0), 0.0, 0.0, false), (7, 0));
+    assert_eq!(machines_wanted(&want(6.5, 0.0, 2.5, 0.0), 2.0, 0.0, true), (7, 3));
+    assert_eq!(machines_wanted(&want(6.5, 0.0, 0.0, 0.0), 2.0, 0.0, true), (7, 0));
+}
+
+#[test]
+fn ordinary_machines_that_are_there_take_part_of_the_work() {
+    assert_eq!(machines_wanted(&want(4.0, 0.0, 0.0, 1.0), 0.0, 3.0, false), (2, 3));
+    assert_eq!(machines_wanted(&want(0.0, 0.0, 0.0, 0.0), 3.0, 3.0, false), (0, 0));
+    assert_eq!(machines_wanted(&want(4.0, 1.0, 0.0, 0.0), 4.0, 1.0, false), (5, 0));
+}
--- /dev/null
+++ b/crates/controller/src/leader/tests.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// Each report of one worker, with a token near the end of what there can be, ended
+/// a term.
+#[test]
+fn a_token_that_was_never_given_ends_one_term_and_no_more() {
+    let text = beamhinge_vocab::settings::SAMPLE;
+    let settings = Settings::parse("t", text).expect("the sample is sound");
+    let mut leader = Leader::new(&settings, 7);
+    let now = Time::from_micros(10_000_000);
+    leader.took(Stamp(8), now);
+    assert_eq!(leader.claims(now, 8), Standing::Same);
+    assert_eq!(leader.claims(now, u64::MAX - 1), Standing::Lost);
+    leader.took(Stamp(12), now);
+    assert_eq!(leader.claims(now, u64::MAX - 1), Standing::Same);
+    assert_eq!(leader.claims(now, u64::MAX), Standing::Same);
+    // A token that may be one ends the term still.
+    assert_eq!(leader.claims(now, 15), Standing::Lost);
+    assert_eq!(leader.took(Stamp(u64::MAX - 3), now), Standing::Same);
+    assert_eq!(leader.token(), None, "its attempts would come again");
+    leader.took(Stamp(17), now);
+    assert_eq!((leader.claims(now, 15), leader.token()), (Standing::Same, Some(Token(17))));
+    assert_eq!(leader.claims(now, 19), Standing::Lost);
+    // One that is not far off is none only until revisions have come so far.
+    leader.took(Stamp(18), now);
+    assert_eq!(leader.claims(now, 20), Standing::Same);
+    leader.deposed(now);
+    leader.took(Stamp(23), now);
+    assert_eq!(leader.claims(now, 25), Standing::Lost);
+}
+
+/// Controllers hand over and back within a second: who handed over, and finds the
+/// block as he left it, begins no term with the token of the one that is over.
+/// Attempts count from it, and its transactions may still be on their way.
+#[test]
+fn a_term_that_is_over_is_not_taken_up_again() {
+    for broken in [false, true] {
+        let text = beamhinge_vocab::settings::SAMPLE;
+        let settings = Settings::parse("t", text).expect("the sample is sound");
+        let mut leader = Leader::new(&settings, 7);
+        leader.faults.old_term = broken;
+        let now = Time::from_micros(10_000_000);
+        leader.took(Stamp(8), now);
+        let mut ledger = Ledger::new(&settings);
+        assert_eq!(leader.step_back(now, &mut ledger), Standing::Lost);
+        let read = |leader: &mut Leader, stamp: u64| {
+            let value = wire::to_value(&leader.me);
+            let pair = [("path", "block/0".into()), ("value", value), ("stamp", stamp.into())];
+            let pair = pair.map(|(k, v)| (ciborium::Value::from(k), v)).to_vec();
+            let pairs = ciborium::Value::Array(vec![ciborium::Value::Map(pair)]);
+            let scan = [("pairs", pairs), ("ledgerRev", 20u64.into())];
+            let scan = scan.map(|(k, v)| (ciborium::Value::from(k), v)).to_vec();
+            let outcome = Outcome::Ok(wire::encode(&ciborium::Value::Map(scan)));
+            let tag = Tag::Lead(LeadCall::ReadBlock);
+            leader.apply(now, LeadCall::ReadBlock, Reply { tag, outcome, sent: now })
+        };
+        let again = read(&mut leader, 8);
+        assert_eq!(again == Standing::Took { token: Token(8) }, broken);
+        // A take of ours that came late, after it, is a new term.
+        if !broken {
+            assert_eq!(read(&mut leader, 12), Standing::Took { token: Token(12) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/placement/books/tests.rs
@@ -0,0 +1,226 @@
+use super::*;
+use crate::ledger::Ledger;
+use beamhinge_limits::Limits;
+use beamhinge_vocab::messages::Out;
+use proptest::prelude::*;
+use serde_json::json;
+
+/// What a controller finds to write at some moment.
+#[derive(Clone, Debug)]
+struct Backlog {
+    /// Tasks of jobs that wait for their page, by job.
+    placed: Vec<u32>,
+    /// Tasks of jobs that are complete.
+    ended: Vec<u32>,
+    dead: usize,
+    /// Digits in the names of jobs and machines.
+    digits: usize,
+    /// Transactions that the service calls malformed before it takes any.
+    malformed: u32,
+}
+
+fn backlog() -> impl Strategy<Value = Backlog> {
+    let jobs = |most| prop::collection::vec(1..most, 0..40usize);
+    (jobs(60u32), jobs(9_000u32), 0..600usize, 6..18usize, 0..8u32).prop_map(
+        |(placed, ended, dead, digits, malformed)| Backlog {
+            placed,
+            ended,
+            dead,
+            digits,
+            malformed,
+        },
+    )
+}
+
+fn spec(tasks: u32) -> Rc<JobSpec> {
+    let body = json!({"c": "class", "o": "one", "k": "batch", "u": "standard", "n": tasks,
+        "cpu": 1.0, "gpu": 0.0, "mem": 1.0, "img": "i", "igb": 1.0, "oz": false, "ap": false,
+        "sp": true, "ex": 5.0, "ce": 0.0, "cs": 0.0, "at": 0});
+    Rc::new(serde_json::from_value(body).expect("a description"))
+}
+
+fn fill(place: &mut Placement, b: &Backlog, now: Time) {
+    let w = b.digits;
+    let chunk = progress::chunk_size(place.value_limit);
+    let mut number = 0;
+    let mut id = || {
+        number += 1;
+        JobId::parse(&format!("job-{number:0w$}")).expect("a job")
+    };
+    for tasks in &b.placed {
+        let job = id();
+        place.jobs.insert(job, new_job(spec(*tasks), Stamp(7), chunk, now));
+        for index in 0..*tasks {
+            let name = format!("n-{:0w$}", index * 7 % 50);
+            let machine = MachineId::parse(&name).expect("a machine");
+            let task = TaskId { job, index };
+            place.next_attempt += 1;
+            let attempt = Attempt(place.next_attempt);
+            let need = Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+            let entry = Entry::planned(attempt, need, None, now, None);
+            let m = place.machines.entry(machine).or_insert_with(|| Machine::new(now));
+            m.entries.insert(task, entry);
+            place.plans.push_back((machine, task));
+        }
+    }
+    for tasks in &b.ended {
+        let job = id();
+        place.jobs.insert(job, new_job(spec(*tasks), Stamp(7), chunk, now));
+        for index in 0..*tasks {
+            place.mark_done(TaskId { job, index });
+        }
+    }
+    for n in 0..b.dead {
+        place.pages.add(format!("p/1-{n}"), Stamp(3));
+    }
+}
+
+/// Counts a body anew, without the code that built it.
+fn within(body: &[u8], limits: Limits) -> Result<(), String> {
+    let txn: serde_json::Value = wire::decode::<ciborium::Value>(body)
+        .ok()
+        .and_then(|v| v.deserialized().ok())
+        .ok_or("not CBOR")?;
+    let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+    let (when, then) = (list("when"), list("then"));
+    let longest = then.iter().map(|t| t["value"].to_string().len()).max().unwrap_or(0);
+    let sizes = (then.len(), when.len(), txn.to_string().len(), longest);
+    let most = (limits.writes, limits.conditions, limits.bytes, limits.value);
+    if sizes.0 > most.0 || sizes.1 > most.1 || sizes.2 > most.2 || sizes.3 > most.3 {
+        return Err(format!("{sizes:?} where {most:?} are allowed"));
+    }
+    Ok(())
+}
+
+/// Guard 1, and the one condition that every write has: on the block as we took it,
+/// and on each key that it changes.
+fn rests(body: &[u8]) -> Result<(), String> {
+    let txn: serde_json::Value = wire::decode::<ciborium::Value>(body)
+        .ok()
+        .and_then(|v| v.deserialized().ok())
+        .ok_or("not CBOR")?;
+    let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+    let when = list("when");
+    let on = |key: &serde_json::Value| when.iter().find(|w| w["path"] == *key);
+    if on(&json!(BLOCK)).is_none_or(|w| w["stamp"] != 9) {
+        return Err("does not rest on the block".into());
+    }
+    let keys = list("then").into_iter().map(|t| match t["write"].is_null() {
+        true => t["delete"].clone(),
+        false => t["write"].clone(),
+    });
+    match keys.into_iter().find(|key| on(key).is_none()) {
+        Some(key) => Err(format!("{key} is changed without a condition on it")),
+        None => Ok(()),
+    }
+}
+
+/// A transaction of a former holder that is carried out late places nothing.
+#[test]
+fn every_transaction_rests_on_the_block() {
+    let b = Backlog { placed: vec![3; 9], ended: vec![2; 5], dead: 9, digits: 6, malformed: 0 };
+    assert!(work_off(&b, 8, 8.0).is_ok());
+    let without = Faults { no_block: true, ..Faults::default() };
+    let found = work_off_with(&b, 8, 8.0, without);
+    assert_eq!(found, Err("does not rest on the block".into()));
+}
+
+/// Plays the state service until nothing is left to write.
+fn work_off(b: &Backlog, txn_ops: usize, value_kb: f64) -> Result<u32, String> {
+    work_off_with(b, txn_ops, value_kb, Faults::default())
+}
+
+fn work_off_with(
+    b: &Backlog,
+    txn_ops: usize,
+    value_kb: f64,
+    faults: Faults,
+) -> Result<u32, String> {
+    let mut settings =
+        Settings::parse("t", beamhinge_vocab::settings::SAMPLE).expect("the sample is sound");
+    settings.params.state.txn_ops = txn_ops;
+    settings.params.state.value_kb = value_kb;
+    let limits = Limits::of(&settings.params.state);
+    let mut now = Time::from_micros(1_000_000);
+    let mut ledger: Ledger<Tag> = Ledger::new(&settings);
+    let standing = Rc::default();
+    let mut place = Placement::new(
+        &settings,
+        Token(9),
+        standing,
+        Chronicle::new(false),
+        Policy::new(Default::default()),
+        now,
+    );
+    place.loaded = true;
+    place.faults = faults;
+    fill(&mut place, b, now);
+    let (mut book, mut calls, mut rev) = (JobBook::default(), 0, 100);
+    let mut refuse = b.malformed;
+    for round in 0..20_000 {
+        now = now.plus(0.3);
+        place.commit(now, &mut ledger);
+        let mut out = Vec::new();
+        ledger.pump(now, &mut calls, &mut out);
+        for o in out {
+            let Out::Call { id, body, .. } = o else { continue };
+            within(&body, limits)?;
+            rests(&body)?;
+            rev += 1;
+            let reply = if refuse > 0 {
+                refuse -= 1;
+                (400, wire::encode(&json!({"error": "too many operations"})))
+            } else {
+                (200, wire::encode(&json!({ "ledgerRev": rev })))
+            };
+            let reply = ledger.on_reply(id, Some(reply)).ok_or("no such call")?;
+            place.on_reply(now, PlaceCall::Commit, reply, &mut book);
+        }
+        let left = place.plans.len()
+            + place.complete.len()
+            + place.shelves.due().count()
+            + place.pages.dead_count().saturating_sub(DEAD_PAGES);
+        if left == 0 && place.flying.is_none() {
+            return Ok(round);
+        }
+    }
+    Err(format!("{} plans, {} ends left", place.plans.len(), place.complete.len()))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    /// Guards against a transaction that is refused as too large and built
+    /// again alike, for ever: nothing started or ended for the rest of a day.
+    #[test]
+    fn no_transaction_is_too_large_and_every_backlog_is_worked_off(
+        b in backlog(),
+        txn_ops in 2..40usize,
+        value_kb in prop_oneof![Just(0.5), 0.5..4.0f64, Just(8.0), Just(32.0)],
+    ) {
+        let done = work_off(&b, txn_ops, value_kb);
+        prop_assert!(done.is_ok(), "{done:?}");
+    }
+}
+
+/// A hundred jobs, each with a condition of its own, beside as many pages to
+/// remove as a transaction may: what stopped a simulated day for ever.
+#[test]
+fn pages_leave_conditions_for_removals() {
+    let b =
+        Backlog { placed: vec![1; 400], ended: vec![3; 30], dead: 400, digits: 6, malformed: 0 };
+    work_off(&b, 24, 8.0).expect("worked off");
+}
+
+#[test]
+fn ten_thousand_dead_pages_do_not_keep_a_task_waiting() {
+    let b =
+        Backlog { placed: vec![20; 10], ended: Vec::new(), dead: 10_000, digits: 6, malformed: 0 };
+    assert!(work_off(&b, 2, 8.0).expect("worked off") > 100);
+    let only = Backlog { dead: 0, ..b };
+    assert!(work_off(&only, 2, 8.0).expect("worked off") < 40);
+}
--- /dev/null
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -0,0 +1,159 @@
+use super::*;
+
+const NOW: f64 = 10.0;
+
+fn at(s: f64) -> Time {
+    Time::default().plus(100.0 + s)
+}
+
+fn job(id: &str) -> JobId {
+    JobId::parse(id).expect("a job")
+}
+
+/// A job that was cancelled, and a placement that holds the block since a moment.
+fn cancelled(id: &str) -> (JobBook, Placement) {
+    let body = serde_json::json!({"c": "class", "o": "one", "k": "batch", "u": "standard",
+        "n": 4, "cpu": 1.0, "gpu": 0.0, "mem": 1.0, "img": "i", "igb": 1.0, "oz": false,
+        "ap": false, "sp": true, "ex": 5.0, "ce": 0.0, "cs": 0.0, "at": 0});
+    let spec: Rc<JobSpec> = Rc::new(serde_json::from_value(body).expect("a description"));
+    let mut book = JobBook::default();
+    book.wrote(job(id), Stamp(5), JobState::Open, Some(spec.clone()));
+    let text = beamhinge_vocab::settings::SAMPLE;
+    let settings = Settings::parse("t", text).expect("the sample is sound");
+    let policy = Policy::new(Default::default());
+    let chronicle = Chronicle::new(false);
+    let standing = Rc::default();
+    let mut place = Placement::new(&settings, Token(9), standing, chronicle, policy, at(NOW - 1.0));
+    place.sync_job(at(NOW - 1.0), job(id), &book);
+    book.wrote(job(id), Stamp(7), JobState::Cancelled, Some(spec));
+    (book, place)
+}
+
+fn report(tick: u64, baton: u64, pieces: &[&str]) -> Report {
+    let piece = |p: &&str| Piece {
+        piece: (*p).to_string(),
+        attempt: 3,
+        status: "running".into(),
+        cause: None,
+    };
+    Report {
+        host: "n-000001".into(),
+        endpoint: "10.0.0.9:9000".into(),
+        shape: "c8".into(),
+        yard: "north".into(),
+        loaners: false,
+        tenure: 1,
+        tick,
+        baton,
+        reclaim_in_s: None,
+        pieces: pieces.iter().map(piece).collect(),
+    }
+}
+
+fn killed(orders: &[Order]) -> Vec<&str> {
+    let kills = orders.iter().filter(|o| o.verb == "kill" && o.wind_down_s == Some(0.0));
+    kills.map(|o| o.piece.as_str()).collect()
+}
+
+/// A holder that had not read the pages, or whose token the worker had not shown
+/// yet, renewed leases of cancelled tasks without a word, for H from its own take.
+#[test]
+fn an_answer_that_renews_a_lease_stops_what_is_cancelled() {
+    for (loaded, baton) in [(false, 4), (false, 9), (true, 4)] {
+        let (book, mut place) = cancelled("job-1");
+        place.loaded = loaded;
+        let said = report(1, baton, &["job-1/0", "job-1/2", "job-2/0"]);
+        let orders = place.report(at(NOW), &said, &[], &book);
+        assert_eq!(killed(&orders), ["job-1/0", "job-1/2"], "{loaded} {baton}");
+        // What is not known, or runs still, is left alone.
+        assert_eq!(orders.len(), 2);
+        place.faults.late_stops = true;
+        let said = report(2, baton, &["job-1/0"]);
+        assert!(place.report(at(NOW + 1.0), &said, &[], &book).is_empty());
+    }
+}
+
+/// A command was lost and its job cancelled before the worker reported again: as a
+/// placement whose `run` never goes out it stayed, with its machine and its job.
+#[test]
+fn a_stop_whose_run_was_lost_leaves_the_books() {
+    for broken in [false, true] {
+        let (book, mut place) = cancelled("job-1");
+        (place.loaded, place.faults.stuck_stop) = (true, broken);
+        place.report(at(NOW), &report(1, 9, &[]), &[], &book);
+        let id = MachineId::parse("n-000001").expect("a machine");
+        let task = TaskId { job: job("job-1"), index: 0 };
+        let need = Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+        let mut entry = Entry::planned(Attempt(3), need, None, at(NOW), None);
+        entry.state = State::Sent(Moment { tenure: 1, tick: 1 });
+        place.machines.get_mut(&id).expect("known").entries.insert(task, entry);
+        place.sync_job(at(NOW), task.job, &book);
+        let kept = |place: &Placement| place.machine(id).is_some_and(|m| !m.is_empty());
+        assert!(kept(&place), "it may have arrived");
+        place.report(at(NOW + 1.0), &report(2, 9, &[]), &[], &book);
+        assert_eq!(kept(&place), broken);
+    }
+}
+
+/// Guard 3: until its worker has shown our token an earlier holder may still send
+/// what is in the pages, whatever the report does not list; and a report that is
+/// not newer than the last proves nothing, with our token neither.
+#[test]
+fn absence_is_proof_only_with_our_token_and_in_a_newer_report() {
+    let id = MachineId::parse("n-000001").expect("a machine");
+    let task = TaskId { job: job("job-1"), index: 0 };
+    // What the report says of tenure, tick and token; whether the task is gone.
+    let cases = [((1, 8, 4), false), ((2, 1, 4), false), ((1, 7, 9), false), ((1, 8, 9), true)];
+    for (broken, hasty, old) in [(false, false, false), (true, true, false), (true, false, true)] {
+        for ((tenure, tick, baton), gone) in cases {
+            let (book, mut place) = cancelled("job-1");
+            place.loaded = true;
+            (place.faults.hasty_proof, place.faults.old_reports) = (hasty, old);
+            place.report(at(NOW), &report(7, 9, &[]), &[], &book);
+            let need = Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+            let mut entry = Entry::planned(Attempt(3), need, None, at(NOW), None);
+            entry.state = State::Inherited;
+            place.machines.get_mut(&id).expect("known").entries.insert(task, entry);
+            let mut said = report(tick, baton, &[]);
+            said.tenure = tenure;
+            place.report(at(NOW + 1.0), &said, &[], &book);
+            let was = place.machine(id).is_some_and(Machine::is_empty);
+            let excused = (hasty && baton == 4) || (old && tick == 7);
+            assert_eq!(was, gone || (broken && excused), "{tenure} {tick} {baton} {hasty} {old}");
+        }
+    }
+}
+
+/// Reports with counts near their end, from elsewhere, or of no sense free nothing
+/// and start nothing.
+#[test]
+fn counts_at_their_end_and_nonsense_are_taken_for_what_they_are() {
+    let (book, mut place) = cancelled("job-1");
+    place.loaded = true;
+    let mut last = report(u64::MAX, 9, &["job-1/0", "job-1/4294967295", "nonsense", "job-1/-1"]);
+    last.tenure = u64::MAX;
+    assert_eq!(killed(&place.report(at(NOW), &last, &[], &book)).len(), 2);
+    for (tenure, tick) in [(u64::MAX, u64::MAX), (u64::MAX, 0), (0, u64::MAX), (0, 0)] {
+        let mut old = report(tick, 9, &[]);
+        old.tenure = tenure;
+        assert!(place.report(at(NOW + 1.0), &old, &[], &book).is_empty());
+    }
+    let id = MachineId::parse("n-000001").expect("a machine");
+    assert_eq!(place.machine(id).expect("known").orphans.len(), 2, "nothing was freed");
+    let mut odd = report(1, 9, &[]);
+    odd.host = "nobody".into();
+    assert!(place.report(at(NOW), &odd, &[], &book).is_empty());
+    assert_eq!(place.machines.len(), 1);
+}
+
+/// Guards against an answer that a worker cannot take: it would report the
+/// same again, and get the same again.
+#[test]
+fn the_longest_answer_fits_its_limit() {
+    let task = TaskId::parse("job-123456789012345678/99999").expect("a task");
+    let orders: Vec<Order> =
+        (0..MOST_ORDERS).map(|_| order("kill", task, Attempt(u64::MAX), Some(12.5))).collect();
+    let body = wire::encode(&orders);
+    let value: ciborium::Value = wire::decode(&body).expect("sound");
+    assert!(wire::json_len(&value) + 100 < wire::BODY_LIMIT, "{}", wire::json_len(&value));
+}
--- /dev/null
+++ b/crates/controller/src/progress/tests.rs
@@ -0,0 +1,110 @@
+use super::*;
+
+#[derive(Default)]
+struct Jobs {
+    tasks: u32,
+    jobs: BTreeMap<JobId, Progress>,
+}
+
+impl Jobs {
+    fn of(&mut self, n: u32) -> &mut Progress {
+        self.jobs.entry(job(n)).or_insert_with(|| Progress::new(CHUNK))
+    }
+}
+
+impl Open for Jobs {
+    fn progress(&mut self, job: JobId) -> Option<(u32, &mut Progress)> {
+        Some((self.tasks, self.jobs.get_mut(&job)?))
+    }
+}
+
+fn job(n: u32) -> JobId {
+    JobId::parse(&format!("job-{n:06}")).expect("job")
+}
+
+#[test]
+fn progress_of_a_huge_job_stays_within_small_values() {
+    let mut ours = Jobs { tasks: 100_000, ..Jobs::default() };
+    let mut shelves = Shelves::new(8 * 1024);
+    for i in (0..100_000).step_by(2) {
+        ours.of(1).set(i);
+        shelves.touch(job(1), i, 100_000);
+    }
+    let mut theirs = Jobs { tasks: 100_000, ..Jobs::default() };
+    theirs.of(1).set(1);
+    let mut copy = Shelves::new(8 * 1024);
+    let due: Vec<usize> = shelves.due().collect();
+    assert_eq!(due.len(), 4, "three chunks of 2,048 digits fit one shelf");
+    for shelf in due {
+        let mut sent = Shelved::default();
+        let value = shelves.send(shelf, &mut sent, &mut ours).expect("value");
+        assert!(wire::json_len(&value) <= 8 * 1024);
+        copy.read(&shelf_key(shelf), Stamp(5), &value, &mut theirs).expect("sound");
+        shelves.written(sent, Stamp(5), &mut ours);
+    }
+    let (p, q) = (ours.of(1), theirs.of(1));
+    assert_eq!((p.count(), q.count()), (50_000, 50_001));
+    assert!(p.durable(8_192 * 2));
+    assert!(q.durable(8_192 * 2) && !q.durable(1), "what only we know is not durable");
+}
+
+#[test]
+fn tiny_values_hold_a_chunk_and_larger_ones_of_before_are_not_counted_twice() {
+    let limit = 460;
+    let size = chunk_size(limit);
+    assert!((64..2_048).contains(&size), "{size}");
+    assert_eq!(chunk_size(32 * 1024), CHUNK);
+    let mut p = Progress::new(size);
+    (0..10 * size).for_each(|i| p.set(i));
+    assert!(item_bytes(size, 0, 100_000) <= limit - FRAME_BYTES);
+    let mut q = Progress::new(size);
+    let long: String = "ff".repeat((size / 8 * 3) as usize);
+    q.merge(0, &long).expect("digits");
+    assert_eq!(q.count(), size);
+    q.merge(1, &long).expect("digits");
+    assert_eq!(q.count(), 2 * size);
+}
+
+#[test]
+fn many_small_jobs_share_a_shelf_and_leave_it_empty() {
+    let mut all = Jobs { tasks: 60, ..Jobs::default() };
+    let mut shelves = Shelves::new(8 * 1024);
+    for n in 0..100 {
+        all.of(n).set(n % 60);
+        shelves.touch(job(n), n % 60, 60);
+    }
+    assert_eq!(shelves.due().count(), 1);
+    let mut sent = Shelved::default();
+    let value = shelves.send(0, &mut sent, &mut all).expect("value");
+    assert!(wire::json_len(&value) <= 8 * 1024);
+    // What is set while the write is on its way is not taken for durable.
+    all.of(3).set(59);
+    shelves.touch(job(3), 59, 60);
+    shelves.written(sent, Stamp(9), &mut all);
+    assert!(all.of(4).durable(4) && !all.of(3).durable(59));
+    assert_eq!(shelves.due().collect::<Vec<_>>(), [0]);
+    (0..100).for_each(|n| shelves.forget(job(n)));
+    assert_eq!(shelves.due().count(), 0);
+    assert_eq!(shelves.empty().collect::<Vec<_>>(), [0]);
+}
+
+#[test]
+fn the_form_before_is_read_and_others_are_refused() {
+    let mut jobs = Jobs { tasks: 4, ..Jobs::default() };
+    jobs.of(7);
+    let mut shelves = Shelves::new(8 * 1024);
+    let old = wire::to_value(&serde_json::json!({"v": 1, "b": "05"}));
+    shelves.read("d/job-000007/0", Stamp(3), &old, &mut jobs).expect("sound");
+    let p = jobs.of(7);
+    assert!(p.has(0) && !p.has(1) && p.has(2));
+    let open = |_: JobId| false;
+    assert_eq!(shelves.outdated(&open).count(), 1, "removed once the job is over");
+    for (key, value) in [
+        ("d/s0000", serde_json::json!({"v": 9, "s": {}})),
+        ("d/job-000007/0", serde_json::json!({"v": 3, "b": ""})),
+        ("d/else", serde_json::json!({"v": 2})),
+    ] {
+        let value = wire::to_value(&value);
+        assert!(shelves.read(key, Stamp(1), &value, &mut jobs).is_err(), "{key}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/history/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+use beamhinge_standins::worker::Event;
+
+fn answer(asked: f64, got: f64, what: Said) -> Answer {
+    Answer { asked, got, what, by: "a".into() }
+}
+
+fn judged(answers: Vec<Answer>, cancel_sent: bool) -> Vec<String> {
+    let h = JobHistory { tasks: 0, answers, cancel_sent, submitted: true };
+    let jobs = BTreeMap::from([("job-1".to_string(), h)]);
+    wrong(&jobs, &Machines::default())
+}
+
+#[test]
+fn answers_that_cross_may_differ_and_later_ones_may_not() {
+    let (done, open) = (Said::State(State::Done), Said::State(State::Running));
+    assert!(judged(vec![answer(0.0, 5.0, open), answer(1.0, 2.0, done)], false).is_empty());
+    assert_eq!(judged(vec![answer(0.0, 1.0, done), answer(2.0, 3.0, open)], false).len(), 1);
+    let unknown = answer(2.0, 3.0, Said::Unknown);
+    assert_eq!(judged(vec![answer(0.0, 1.0, Said::Accepted), unknown], false).len(), 1);
+}
+
+#[test]
+fn two_final_answers_and_a_cancel_by_nobody_are_found() {
+    let (done, gone) = (Said::State(State::Done), Said::State(State::Cancelled));
+    // Crossing, so that neither came after the other.
+    let both = vec![answer(0.0, 5.0, done), answer(1.0, 4.0, gone)];
+    assert_eq!(judged(both, true).len(), 1);
+    assert_eq!(judged(vec![answer(0.0, 1.0, gone)], false).len(), 1);
+}
+
+#[test]
+fn a_task_on_two_machines_and_an_early_done_are_found() {
+    let mut m = Machines::default();
+    let seen = |machine, what| Seen {
+        at: 0,
+        machine,
+        event: Event { piece: "job-1/0".into(), attempt: 1, what },
+    };
+    m.saw(1.0, &seen(1, Happened::Began));
+    m.saw(2.0, &seen(2, Happened::Began));
+    assert_eq!(m.twice.len(), 1);
+    let answers = vec![answer(2.0, 2.5, Said::State(State::Done))];
+    let h = JobHistory { tasks: 1, answers, cancel_sent: false, submitted: true };
+    let jobs = BTreeMap::from([("job-1".to_string(), h)]);
+    assert_eq!(wrong(&jobs, &m).len(), 2, "twice, and done with one open");
+    m.twice.clear();
+    m.saw(2.2, &seen(2, Happened::Ended));
+    assert!(wrong(&jobs, &m).is_empty());
+}
--- /dev/null
+++ b/crates/standins/src/processes/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_command_runs_and_its_end_is_seen() {
+    let mut p = Processes::new(None, Vec::new());
+    assert!(p.start("job-1/0", 1, "exit 0") && p.start("job-1/1", 2, "exit 3"));
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut seen = Vec::new();
+    while seen.len() < 2 && Instant::now() < until {
+        seen.extend(p.ended());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    seen.sort();
+    let want = [("job-1/0".to_string(), 1, true), ("job-1/1".to_string(), 2, false)];
+    assert_eq!(seen, want);
+}
+
+/// What a task started in the background once outlived its task.
+#[test]
+fn what_a_command_started_ends_with_it() {
+    let dir = std::env::temp_dir().join(format!("beamhinge-group-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("pid");
+    let mut p = Processes::new(None, Vec::new());
+    let line = format!("sleep 300 & echo $! > {}.new; mv {0}.new {0}; wait", file.display());
+    assert!(p.start("job-1/0", 1, &line));
+    let until = Instant::now() + Duration::from_secs(20);
+    while !file.exists() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let pid: u32 = std::fs::read_to_string(&file).expect("written").trim().parse().expect("pid");
+    p.stop("job-1/0", 1);
+    let gone = || {
+        // A process nobody waits for may stay as a zombie for a moment.
+        std::fs::read_to_string(format!("/proc/{pid}/stat")).map_or(true, |s| s.contains(") Z "))
+    };
+    while !gone() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(gone(), "the background process is still there");
+    std::fs::remove_dir_all(&dir).expect("removed");
+}
--- /dev/null
+++ b/crates/vocab/src/http/tests.rs
@@ -0,0 +1,69 @@
+use super::*;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+
+fn head(method: Method, path: &str) -> RequestHead<'_> {
+    let content = Content::Cbor;
+    RequestHead { method, path, host: "h", content, authorization: None }
+}
+
+#[test]
+fn a_request_may_come_in_any_pieces() {
+    let mut whole = Vec::new();
+    write_request(&mut whole, &head(Method::Post, "/x?a=1"), b"body");
+    for cut in 0..whole.len() {
+        let mut buf = whole[..cut].to_vec();
+        assert_eq!(take_request(&mut buf, 100), Ok(None), "cut at {cut}");
+        buf.extend_from_slice(&whole[cut..]);
+        let r = take_request(&mut buf, 100).expect("sound").expect("whole");
+        assert_eq!(
+            (r.method, r.path.as_str(), r.body.as_slice()),
+            (Method::Post, "/x?a=1", &b"body"[..])
+        );
+        assert!(buf.is_empty());
+    }
+}
+
+#[test]
+fn limits_and_malformed_messages_are_told_apart() {
+    let case = |s: &str| take_request(&mut s.as_bytes().to_vec(), 10);
+    assert_eq!(case("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"), Err(HttpError::TooLarge));
+    for bad in [
+        "GET /\r\n\r\n",
+        "GET x HTTP/1.1\r\n\r\n",
+        "GET / HTTP/2\r\n\r\n",
+        "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    ] {
+        assert_eq!(case(bad), Err(HttpError::Malformed), "{bad}");
+    }
+    assert_eq!(case(&"x".repeat(HEAD_LIMIT + 5)), Err(HttpError::Malformed));
+}
+
+#[test]
+fn answers_may_be_chunked() {
+    let mut buf =
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            .to_vec();
+    let r = take_response(&mut buf, 100).expect("sound").expect("whole");
+    assert_eq!(r.body, b"abcde");
+}
+
+#[test]
+fn no_message_ends_the_process() {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut good = Vec::new();
+    write_request(&mut good, &head(Method::Get, "/api/jobs/job-1"), b"0123456789");
+    good.extend_from_slice(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    );
+    for _ in 0..20_000 {
+        let mut buf = good[rng.gen_range(0..good.len())..].to_vec();
+        for _ in 0..rng.gen_range(0..4) {
+            let at = rng.gen_range(0..buf.len());
+            buf[at] = rng.gen();
+        }
+        let _ = take_request(&mut buf.clone(), 64);
+        let _ = take_response(&mut buf, 64);
+    }
+}
--- /dev/null
+++ b/crates/vocab/src/settings/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+#[test]
+fn unknown_fields_pass_and_bad_ones_are_named() {
+    let s = Settings::parse("t", SAMPLE).expect("the sample is sound");
+    assert!(s.answer_limit_s() + 10.0 + 1.0 < 30.0);
+    for (from, to, names) in [
+        ("lease_s = 10.0", "lease_s = 29.0", "cancel_s"),
+        ("rps = 100.0", "rps = 0.0", "state.rps"),
+        ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
+        ("label = \"a\"\n", "", "label"),
+    ] {
+        let text = SAMPLE.replacen(from, to, 1);
+        let err = Settings::parse("t", &text).expect_err(names).to_string();
+        assert!(err.contains(names), "{err}");
+    }
+}
+
+#[test]
+fn an_open_door_without_keys_is_refused() {
+    let parse = |text| Operator::parse("t", text).map(|o| o.door);
+    assert!(parse("[operators]\nlisten = 0.0.0.0:7900\n").is_err());
+    let kept = parse("[operators]\nlisten = 0.0.0.0:7900\nkeys = k.ini\n");
+    assert!(kept.is_ok_and(|d| d.is_some()));
+    let local = parse("[operators]\nlisten = 127.0.0.1:7900\nrps = 5\n");
+    assert_eq!(local.ok().flatten().map(|d| (d.rps, d.connections)), Some((5.0, 16)));
+    assert_eq!(parse("[operators]\nrps = 5\n").ok().flatten(), None);
+}
+
+#[test]
+fn ageing_is_off_until_it_is_turned_on() {
+    assert!(!Operator::default().ageing.on);
+    let text = "[ageing]\non = yes\nshare = 0.1\nceiling = standard\n";
+    let ageing = Operator::parse("t", text).map(|o| o.ageing).expect("sound");
+    assert_eq!((ageing.on, ageing.share, ageing.ceiling), (true, 0.1, Urgency::Standard));
+    let shipped = include_str!("../../../../deploy/ageing.ini");
+    let shipped = Operator::parse("ageing.ini", shipped).map(|o| o.ageing);
+    assert_eq!(shipped.ok(), Some(Ageing { on: true, ..Ageing::default() }));
+    for wrong in ["on = maybe", "share = 0", "ceiling = best_effort", "stops = -1"] {
+        let err = Operator::parse("t", &format!("[ageing]\n{wrong}\n"));
+        assert!(err.expect_err(wrong).to_string().contains("[ageing]"));
+    }
+}
+
+#[test]
+fn the_operators_file_is_refused_with_section_and_key() {
+    assert_eq!(Operator::parse("t", "[fleet]\nidle_s = 5\n").map(|o| o.idle_s).ok(), Some(5.0));
+    for text in ["[fleet]\nidle_s = -1\n", "[fleet]\nidle_s = soon\n", "[fleet]\nidel_s = 3\n"] {
+        let err = Operator::parse("t", text).expect_err(text).to_string();
+        assert!(err.contains("[fleet] id"), "{err}");
+    }
+}
--- /dev/null
+++ b/crates/vocab/src/wire/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+
+#[test]
+fn sizes_are_those_of_the_json_form() {
+    let value = Value::Map(vec![(Value::Text("a".into()), Value::Integer((-120).into()))]);
+    assert!(json_len(&value) >= r#"{"a":-120}"#.len());
+    assert!(json_len(&Value::Bytes(vec![0; 100])) >= 100);
+}
+
+#[test]
+fn no_body_ends_the_process() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let good = encode(&serde_json::json!({"nameId": "job-1", "pieces": [1, 2.5, null]}));
+    for _ in 0..5_000 {
+        let mut body = good.clone();
+        for _ in 0..rng.gen_range(1..6) {
+            let at = rng.gen_range(0..body.len());
+            body[at] = rng.gen();
+        }
+        body.truncate(rng.gen_range(0..=body.len()));
+        let _ = decode::<Value>(&body);
+    }
+    // A deeply nested body is refused, not followed.
+    assert!(decode::<Value>(&[0x81; 60_000]).is_err());
+}
