--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -711,3 +711,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/controller/src/intake/tests.rs
@@ -0,0 +1,256 @@
+use super::*;
+use crate::calls::MirrorCall;
+use beamhinge_vocab::settings::SAMPLE;
+use serde_json::{json, Value as Json};
+
+fn at(s: f64) -> Time {
+    Time::default().plus(100.0 + s)
+}
+
+fn submission() -> Json {
+    json!({"nameId": "job-000412", "jobClass": "train", "owner": "one", "jobKind": "batch",
+        "urgency": "high", "pieces": 16, "vcpus": 2.0, "cards": 0.0, "memoryGb": 4.0,
+        "bundle": "img-07", "imageGb": 6.2, "shapes": ["c8"], "yard": null, "oneZone": true,
+        "apart": false, "loaners": true, "expectS": 240.0, "snapshotEveryS": 30.0,
+        "snapshotS": 4.0, "dueS": 900.0})
+}
+
+/// What a submission is told before any limit or machine is looked at.
+fn sound_with(field: &str, value: Option<ciborium::Value>) -> bool {
+    let mut map = match ciborium::Value::serialized(&submission()) {
+        Ok(ciborium::Value::Map(map)) => map,
+        other => panic!("{other:?}"),
+    };
+    map.retain(|(k, _)| k.as_text() != Some(field));
+    if let Some(v) = value {
+        map.push((ciborium::Value::Text(field.into()), v));
+    }
+    read_submission(&wire::encode(&ciborium::Value::Map(map)), WallMs(1)).is_ok()
+}
+
+/// Every field of a submission: absent, null, of a wrong type, negative, not finite, too
+/// long. Only what may be null may be absent; all else is malformed, never accepted.
+#[test]
+fn what_is_missing_or_invalid_in_a_submission_is_malformed() {
+    use ciborium::Value as V;
+    assert!(sound_with("unknown", Some(V::Text("field".into()))));
+    let text = |s: &str| V::Text(s.into());
+    for field in ["shapes", "yard", "dueS"] {
+        assert!(sound_with(field, None), "{field} may be absent");
+        assert!(sound_with(field, Some(V::Null)), "{field} may be null");
+        assert!(!sound_with(field, Some(V::Bool(true))), "{field}");
+        assert!(!sound_with(field, Some(V::Map(Vec::new()))), "{field}");
+    }
+    let words = ["nameId", "jobClass", "owner", "jobKind", "urgency", "bundle"];
+    let amounts =
+        ["vcpus", "cards", "memoryGb", "imageGb", "expectS", "snapshotEveryS", "snapshotS"];
+    let flags = ["oneZone", "apart", "loaners"];
+    let all = words.iter().chain(&amounts).chain(&flags).chain(&["pieces"]);
+    for field in all {
+        assert!(!sound_with(field, None), "{field} is missing");
+        assert!(!sound_with(field, Some(V::Null)), "{field} is null");
+        assert!(!sound_with(field, Some(V::Array(vec![V::Null]))), "{field} is a list");
+        assert!(!sound_with(field, Some(V::Map(Vec::new()))), "{field} is a map");
+    }
+    for field in words {
+        assert!(!sound_with(field, Some(V::Integer(7.into()))), "{field} is a number");
+        assert!(!sound_with(field, Some(V::Bool(true))), "{field} is a flag");
+    }
+    for field in ["jobKind", "urgency", "nameId"] {
+        assert!(!sound_with(field, Some(text("anything"))), "{field}");
+    }
+    for id in ["job-", "job-1x", "job--1", "JOB-1", "job-99999999999999999999999", "job-1/0"] {
+        assert!(!sound_with("nameId", Some(text(id))), "{id}");
+    }
+    for field in ["owner", "jobClass"] {
+        assert!(!sound_with(field, Some(text(""))), "{field} is empty");
+    }
+    for field in amounts.iter().chain(&["dueS"]) {
+        for bad in [-1.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+            assert!(!sound_with(field, Some(V::Float(bad))), "{field} is {bad}");
+        }
+        assert!(!sound_with(field, Some(text("2"))), "{field} is text");
+        assert!(!sound_with(field, Some(V::Bool(true))), "{field} is a flag");
+        assert!(sound_with(field, Some(V::Integer(3.into()))), "a whole amount is one");
+    }
+    for bad in [-1.0, 0.0, 1.5, 100_001.0, f64::NAN, f64::INFINITY, 1e300] {
+        assert!(!sound_with("pieces", Some(V::Float(bad))), "pieces is {bad}");
+    }
+    for bad in [-1, 0, 100_001, i64::MAX, i64::MIN] {
+        assert!(!sound_with("pieces", Some(V::Integer(bad.into()))), "pieces is {bad}");
+    }
+    for flag in flags {
+        for bad in [text("true"), V::Integer(1.into()), V::Float(1.0)] {
+            assert!(!sound_with(flag, Some(bad)), "{flag}");
+        }
+    }
+    assert!(!sound_with("shapes", Some(V::Array(vec![V::Integer(1.into())]))));
+    for body in [&b""[..], b"\xff", b"\x01", b"\x80"] {
+        assert!(read_submission(body, WallMs(1)).is_err());
+    }
+}
+
+/// What can never run, told apart from what cannot be decided yet.
+#[test]
+fn what_can_never_run_is_refused_and_what_is_not_known_is_not() {
+    let mut settings = Settings::parse("t", SAMPLE).expect("the sample is sound");
+    settings.params.teams[0].name = "one".into();
+    settings.params.teams[0].cpus_max = 16.0;
+    let shapes = [Shape {
+        label: "c8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0,
+        low_price: 0.3,
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }];
+    let judged = |field: &str, value: Json, known: bool| {
+        let mut body = submission();
+        body[field] = value;
+        let (_, spec) = read_submission(&wire::encode(&body), WallMs(1)).expect("sound");
+        judge(&spec, &settings, if known { &shapes } else { &[] })
+    };
+    let never = |v: Verdict| matches!(v, Verdict::Never(_));
+    assert_eq!(judged("pieces", json!(100_000), true), Verdict::Possible);
+    assert_eq!(judged("pieces", json!(1), false), Verdict::Undecided);
+    for known in [false, true] {
+        assert!(never(judged("owner", json!("nobody"), known)));
+        assert!(never(judged("vcpus", json!(17.0), known)));
+        assert!(never(judged("jobKind", json!("standing"), known)), "16 of 2 CPUs at once");
+        let long = json!("x".repeat(60_000));
+        assert!(never(judged("jobClass", long, known)));
+    }
+    for (field, value) in [
+        ("vcpus", json!(8.5)),
+        ("memoryGb", json!(33.0)),
+        ("cards", json!(1)),
+        ("shapes", json!(["c9"])),
+        ("shapes", json!([])),
+        ("yard", json!("west")),
+    ] {
+        assert!(never(judged(field, value.clone(), true)), "{field} {value}");
+        assert_eq!(judged(field, value, false), Verdict::Undecided);
+    }
+}
+
+struct Nobody;
+
+impl Context for Nobody {
+    fn counts(&self, _: JobId) -> Option<Counts> {
+        None
+    }
+}
+
+/// A copy of the jobs, kept by exchanges with the state service that are played here.
+struct Copy {
+    book: JobBook,
+    ledger: Ledger<Tag>,
+    calls: u64,
+}
+
+impl Copy {
+    fn new(now: Time) -> Copy {
+        let settings = Settings::parse("t", SAMPLE).expect("the sample is sound");
+        let mut copy = Copy { book: JobBook::default(), ledger: Ledger::new(&settings), calls: 0 };
+        let sent = copy.ask(now);
+        copy.take(now, sent, MirrorCall::Scan, json!({"pairs": [], "more": false, "ledgerRev": 3}));
+        copy
+    }
+
+    fn ask(&mut self, now: Time) -> beamhinge_vocab::types::CallId {
+        self.book.tick(now, true, false, &mut self.ledger);
+        let mut out = Vec::new();
+        self.ledger.pump(now, &mut self.calls, &mut out);
+        match out.pop() {
+            Some(Out::Call { id, .. }) => id,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Time,
+        id: beamhinge_vocab::types::CallId,
+        call: MirrorCall,
+        body: Json,
+    ) -> Freshness {
+        let reply = self.ledger.on_reply(id, Some((200, wire::encode(&body)))).expect("ours");
+        self.book.on_reply(now, call, reply)
+    }
+}
+
+fn told(out: &mut Vec<Out>) -> Vec<(u16, String)> {
+    let answers = out.drain(..).filter_map(|o| match o {
+        Out::Answer { status, body, .. } => {
+            let body: ciborium::Value = wire::decode(&body).expect("CBOR");
+            let body: Json = body.deserialized().expect("as JSON");
+            Some((status, body["status"].as_str().unwrap_or("").to_string()))
+        }
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// A poll's exchange with the state service was handled before the job was cancelled at
+/// another controller, and its reply is slow. The word of that end comes first: what the
+/// user has heard by then is newer than the reply, which answers nothing any more.
+#[test]
+fn no_older_answer_follows_the_word_of_an_end() {
+    let id = JobId::parse("job-000412").expect("a job");
+    let (_, spec) = read_submission(&wire::encode(&submission()), WallMs(1)).expect("sound");
+    for word in [false, true] {
+        let (mut copy, mut intake, mut out) = (Copy::new(at(0.0)), Intake::default(), Vec::new());
+        copy.book.wrote(id, Stamp(4), JobState::Open, Some(Rc::new(spec.clone())));
+        let request = |generation| RequestId { slot: 0, generation };
+        intake.poll(at(1.0), request(1), id, &copy.book, &mut out);
+        let sent = copy.ask(at(1.0));
+        if word {
+            let other = JobId::parse("job-9").expect("a job");
+            intake.heard_ended(at(1.2), [other, id].into_iter());
+        }
+        let fresh = copy.take(at(1.4), sent, MirrorCall::Now, json!({"ledgerRev": 4, "news": []}));
+        intake.on_fresh(at(1.4), fresh, &copy.book, &Nobody, &mut out);
+        let expected: &[(u16, String)] = &[(200, "pending".into())];
+        assert_eq!(told(&mut out), if word { &[] } else { expected });
+        assert!(intake.take_words().is_empty());
+        if !word {
+            continue;
+        }
+        // The next copy is newer, and says what the user knows.
+        assert!(intake.asks());
+        let sent = copy.ask(at(1.5));
+        let cancelled = json!({"ledgerRev": 5, "news": [{"write": jobs::key(id), "stamp": 5,
+            "value": jobs::cancelled_record(&spec)}]});
+        let fresh = copy.take(at(1.6), sent, MirrorCall::Now, cancelled);
+        intake.on_fresh(at(1.6), fresh, &copy.book, &Nobody, &mut out);
+        assert_eq!(told(&mut out), [(200, "cancelled".into())]);
+        assert_eq!(intake.take_words(), [id], "and the peers are told");
+        intake.poll(at(2.0), request(2), id, &copy.book, &mut out);
+        assert_eq!(told(&mut out), [(200, "cancelled".into())]);
+        assert!(intake.take_words().is_empty(), "once");
+    }
+}
+
+/// Word of ends that nobody asks about, or of many, is kept by nobody.
+#[test]
+fn words_of_ends_are_bounded_and_change_nothing() {
+    let (copy, mut intake, mut out) = (Copy::new(at(0.0)), Intake::default(), Vec::new());
+    let id = |n: usize| JobId::parse(&format!("job-{n}")).expect("a job");
+    intake.heard_ended(at(0.1), (0..10_000).map(id));
+    assert!(!intake.asks() && copy.book.get(id(1)).is_none());
+    for n in 0..WORDS_KNOWN * 3 {
+        intake.ended(id(n));
+    }
+    assert_eq!(intake.take_words().len(), WORDS_KNOWN * 3);
+    assert_eq!(intake.spread.len(), WORDS_KNOWN);
+    // A poll whose patience is over is told so, whatever word came.
+    intake.poll(at(1.0), RequestId { slot: 0, generation: 1 }, id(1), &copy.book, &mut out);
+    let mut ledger = Ledger::new(&Settings::parse("t", SAMPLE).expect("sound"));
+    intake.heard_ended(at(1.0 + POLL_PATIENCE_S), std::iter::once(id(1)));
+    intake.tick(at(1.1 + POLL_PATIENCE_S), &copy.book, &mut ledger, &mut out);
+    assert_eq!(told(&mut out), [(503, String::new())]);
+}
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -97,7 +97,7 @@
         self.stopped = true;
     }
 
-    fn merge(&mut self, now: Time, load: Load, book: &JobBook) {
+    pub(super) fn merge(&mut self, now: Time, load: Load, book: &JobBook) {
         let ids: Vec<JobId> =
             book.iter().filter(|(_, e)| e.state == JobState::Open).map(|(id, _)| *id).collect();
         for id in ids {
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -157,3 +157,195 @@
     let value: ciborium::Value = wire::decode(&body).expect("sound");
     assert!(wire::json_len(&value) + 100 < wire::BODY_LIMIT, "{}", wire::json_len(&value));
 }
+
+fn machine() -> MachineId {
+    MachineId::parse("n-000001").expect("a machine")
+}
+
+fn entry(state: State) -> Entry {
+    let need = Need { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+    let mut entry = Entry::planned(Attempt(3), need, None, at(NOW), None);
+    entry.state = state;
+    entry
+}
+
+/// Guard 3: an old report may be the first word that a new leader hears of a machine. It
+/// is answered, and no sign of life; the worker's own next one is, or one with our token.
+#[test]
+fn a_first_word_of_an_earlier_term_is_no_sign_of_life() {
+    let heard = |place: &Placement| place.machine(machine()).is_some_and(|m| m.heard.is_some());
+    for (loaded, broken) in [(false, false), (true, false), (true, true)] {
+        let (book, mut place) = cancelled("job-1");
+        (place.loaded, place.faults.first_word) = (loaded, broken);
+        place.report(at(NOW), &report(5, 4, &[]), &[], &book);
+        assert_eq!(heard(&place), broken);
+        // Several that were kept come at once.
+        place.report(at(NOW + 0.01), &report(6, 4, &[]), &[], &book);
+        assert_eq!(heard(&place), broken);
+        let m = place.machine(machine()).expect("known");
+        assert!(m.answered.is_some(), "an answer may have renewed its lease");
+        place.report(at(NOW + 0.5), &report(7, 4, &[]), &[], &book);
+        assert!(heard(&place), "its own next report");
+        let (book, mut place) = cancelled("job-1");
+        place.report(at(NOW), &report(5, 9, &[]), &[], &book);
+        assert!(heard(&place), "one that carries our token");
+    }
+}
+
+/// Guard 3: what was reported before the pages were read counts as the newest all the
+/// same: an older report after them, with our token too, ends nothing.
+#[test]
+fn a_report_from_before_the_pages_were_read_makes_older_ones_old() {
+    let (book, mut place) = cancelled("job-1");
+    place.report(at(NOW), &report(8, 9, &[]), &[], &book);
+    let load = Load {
+        pages: Vec::new(),
+        progress: Vec::new(),
+        stage: PlaceCall::Progress,
+        flying: false,
+        after: None,
+    };
+    place.merge(at(NOW), load, &book);
+    assert!(place.loaded);
+    let task = TaskId { job: job("job-1"), index: 0 };
+    let m = place.machines.get_mut(&machine()).expect("known");
+    m.entries.insert(task, entry(State::Inherited));
+    place.report(at(NOW + 0.1), &report(7, 9, &[]), &[], &book);
+    assert!(!place.machine(machine()).expect("known").is_empty());
+    place.report(at(NOW + 1.0), &report(9, 9, &[]), &[], &book);
+    assert!(place.machine(machine()).expect("known").is_empty());
+}
+
+/// Guard 3: a machine that reaches nobody answers direct commands. Their bodies are newer
+/// reports by token, tenure and tick, they renew nothing, and they do not show that the
+/// answer to its last report was dropped.
+#[test]
+fn a_direct_answer_of_a_silent_machine_proves_what_it_shows_and_no_more() {
+    // What was in the books, what the body says of itself; whether the task is gone.
+    let seen = State::Seen(Phase::Running);
+    let sent = State::Sent(Moment { tenure: 1, tick: 7 });
+    let cases = [
+        (seen, (1, 9, 9), true),
+        (State::Inherited, (1, 9, 9), true),
+        (seen, (2, 1, 9), true),
+        (seen, (1, 7, 9), false),
+        (seen, (0, u64::MAX, 9), false),
+        (seen, (1, 9, 4), false),
+        (sent, (1, 9, 9), false),
+        (sent, (2, 1, 9), false),
+    ];
+    for broken in [false, true] {
+        for (state, (tenure, tick, baton), gone) in cases {
+            let (book, mut place) = cancelled("job-1");
+            (place.loaded, place.faults.direct_absence) = (true, broken);
+            place.report(at(NOW), &report(7, 9, &[]), &[], &book);
+            let task = TaskId { job: job("job-1"), index: 0 };
+            let m = place.machines.get_mut(&machine()).expect("known");
+            m.entries.insert(task, entry(state));
+            let mut said = report(tick, baton, &[]);
+            said.tenure = tenure;
+            // One that reports says so itself, and is answered.
+            place.direct_answer(at(NOW + 0.5), &said, &book);
+            assert!(!place.machine(machine()).expect("known").is_empty());
+            let silent = at(NOW + place.silent_s() + 1.0);
+            place.direct_answer(silent, &said, &book);
+            let m = place.machine(machine()).expect("known");
+            let left = m.entries.get(&task).map(|e| e.state);
+            // Left out, it is given up, or taken for one whose `run` was lost, and goes
+            // elsewhere while that may be on its way.
+            let kept = !gone && !(broken && state == sent);
+            assert_eq!(left == Some(state), kept, "{state:?} {tenure} {tick} {broken}");
+            assert_eq!(left.is_none(), gone || (broken && state == sent && tenure == 2));
+            assert_eq!(m.answered, Some(at(NOW)), "silence goes on");
+            assert_eq!(m.heard, Some(at(NOW)));
+            // A report that was sent before is answered still; its list is the older one.
+            if gone && tenure == 1 {
+                let late = report(8, 9, &["job-1/0"]);
+                assert_eq!(killed(&place.report(silent, &late, &[], &book)), ["job-1/0"]);
+                let m = place.machine(machine()).expect("known");
+                assert!(m.is_empty() && m.answered == Some(silent));
+            }
+        }
+    }
+}
+
+/// Silent machines with tasks are asked, and told again what is to stop there.
+#[test]
+fn silent_machines_with_tasks_are_asked() {
+    let (book, mut place) = cancelled("job-1");
+    place.loaded = true;
+    place.report(at(NOW), &report(7, 9, &[]), &[], &book);
+    let silent = at(NOW + place.silent_s() + 0.1);
+    assert!(place.silent_with_tasks(silent).is_empty(), "nothing is there");
+    let task = TaskId { job: job("job-1"), index: 0 };
+    let mut there = entry(State::Seen(Phase::Saving));
+    there.kill = Some(0.0);
+    let m = place.machines.get_mut(&machine()).expect("known");
+    m.entries.insert(task, there);
+    assert!(place.silent_with_tasks(at(NOW + 1.0)).is_empty(), "it reports");
+    let asked = place.silent_with_tasks(silent);
+    let [(id, _, tenure, orders)] = asked.as_slice() else { panic!("{asked:?}") };
+    assert_eq!((*id, *tenure, killed(orders)), (machine(), 1, vec!["job-1/0"]));
+}
+
+/// A task that the books do not know counts for its team and on its machine until it is
+/// gone, also when its job is over and its record has lost its description.
+#[test]
+fn an_orphan_of_a_job_that_is_over_counts_until_it_is_gone() {
+    let text = beamhinge_vocab::settings::SAMPLE;
+    let mut settings = Settings::parse("t", text).expect("the sample is sound");
+    settings.params.teams[0].name = "one".into();
+    let (mut book, mut place) = cancelled("job-1");
+    (place.loaded, place.team_names[0]) = (true, "one".into());
+    let shapes = [Shape {
+        label: "c8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0,
+        low_price: 0.3,
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }];
+    let used = |place: &Placement, now| place.round(now, &settings, &shapes).team_used[0].0;
+    place.report(at(NOW), &report(7, 9, &["job-1/0", "job-1/2"]), &shapes, &book);
+    assert_eq!(used(&place, at(NOW)), 2.0);
+    let free = |place: &Placement| place.machine(machine()).expect("known").free(&shapes).cpus;
+    assert_eq!(free(&place), 6.0);
+    place.report(at(NOW + 1.0), &report(8, 9, &["job-1/2"]), &shapes, &book);
+    assert_eq!((used(&place, at(NOW)), free(&place)), (1.0, 7.0));
+    // Of a job that is done only its end is kept: the machine counts as full.
+    book.wrote(job("job-3"), Stamp(8), JobState::Done, None);
+    place.report(at(NOW + 2.0), &report(9, 9, &["job-3/0"]), &shapes, &book);
+    assert!(free(&place) < 0.0);
+    place.report(at(NOW + 3.0), &report(10, 9, &[]), &shapes, &book);
+    assert_eq!((used(&place, at(NOW)), free(&place)), (0.0, 8.0));
+}
+
+/// Whatever a cancelled task does at the time, it is told to end at once, without time
+/// to save: nobody has any use for what it does.
+#[test]
+fn cancelled_tasks_that_fetch_or_save_are_ended_at_once() {
+    for status in ["pulling", "running", "saving", "a state of a later version"] {
+        let (book, mut place) = cancelled("job-1");
+        place.loaded = true;
+        let mut said = report(7, 9, &["job-1/0"]);
+        said.pieces[0].status = status.into();
+        let task = TaskId { job: job("job-1"), index: 0 };
+        for (tick, known) in [(7, false), (8, true)] {
+            if known {
+                // As it was told to save, to make room, before it was cancelled.
+                let mut there = entry(State::Seen(Phase::Saving));
+                there.kill = Some(4.0);
+                let m = place.machines.get_mut(&machine()).expect("known");
+                m.entries.insert(task, there);
+            }
+            said.tick = tick;
+            let orders = place.report(at(NOW + tick as f64), &said, &[], &book);
+            assert_eq!(killed(&orders), ["job-1/0"], "{status}");
+            assert_eq!(orders.len(), 1);
+        }
+    }
+}
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -51,6 +51,8 @@
         path: String,
         body: Vec<u8>,
         quiet: bool,
+        /// How much longer its answer takes.
+        slow: Us,
     },
     ToCloud {
         node: usize,
@@ -563,7 +565,11 @@
                 let at = self.now + hop;
                 match dest {
                     Dest::State => {
-                        let Some(at) = self.passes(i, Far::State, at + self.state_delay()) else {
+                        // What is slow is the way there or the way back.
+                        let delay = self.state_delay();
+                        let back = delay > 0 && self.rng.gen_bool(0.5);
+                        let (there, slow) = if back { (0, delay) } else { (delay, 0) };
+                        let Some(at) = self.passes(i, Far::State, at + there) else {
                             return;
                         };
                         let lost = path == "/commit" && self.rng.gen_bool(self.lose_replies);
@@ -585,12 +591,22 @@
                                     path,
                                     body,
                                     quiet,
+                                    slow: 0,
                                 },
                             );
                         }
                         self.push(
                             at,
-                            Event::ToState { node: i, life, call: id, method, path, body, quiet },
+                            Event::ToState {
+                                node: i,
+                                life,
+                                call: id,
+                                method,
+                                path,
+                                body,
+                                quiet,
+                                slow,
+                            },
                         );
                     }
                     Dest::Cloud => {
@@ -699,7 +715,7 @@
                     self.push(self.now + 25_000, Event::Tick(i, life));
                 }
             }
-            Event::ToState { node, life, call, method, path, body, quiet } => {
+            Event::ToState { node, life, call, method, path, body, quiet, slow } => {
                 let jobs = self.cut(node, "jobs") && path.contains("under=j/");
                 let refused = jobs || self.cut(node, "refused");
                 let reply = if refused {
@@ -712,7 +728,7 @@
                 };
                 if let Some((status, body)) = reply {
                     if !quiet {
-                        let hop = self.rng.gen_range(1_000..4_000);
+                        let hop = self.rng.gen_range(1_000..4_000) + slow;
                         if let Some(at) = self.passes(node, Far::State, self.now + hop) {
                             let reply = Some((status, body));
                             self.push(at, Event::ToNode { node, life, call, reply });
--- a/crates/sim/src/scenario/tests.rs
+++ b/crates/sim/src/scenario/tests.rs
@@ -18,3 +18,38 @@
     assert_eq!(outcome.waits.len(), 3, "{outcome:?}");
     assert!(outcome.waits.iter().all(|w| w.wait_s < 10.0 && w.urgency == "high"));
 }
+
+/// A job that waits beside room that fits, here since operators froze its team, is found
+/// after 90 s without trouble; and one that has no room, or is at its limit, is not.
+#[test]
+fn a_job_left_waiting_beside_room_is_found() {
+    let freeze = "at 2 op a POST /v1/directives {\"target\":{\"team\":\"one\"},\"set\":true}\n";
+    let day = "owned 2\nspot 0\nordinary 0\nlarge 0\nsettle 110\nat 4 submit job-1 tasks=2 cpus=2 run=4\nend 10\n";
+    let sound = play(day, Faults::default()).expect("a scenario");
+    assert!(sound.wrong.is_empty() && sound.left_waiting.is_empty(), "{sound:?}");
+    let frozen = play(&format!("{freeze}{day}"), Faults::default()).expect("a scenario");
+    assert_eq!(frozen.left_waiting, ["job-1"], "{frozen:?}");
+    let full = "at 3 submit job-2 tasks=8 cpus=2 run=300 team=two\n";
+    let full = play(&format!("{full}{day}"), Faults::default()).expect("a scenario");
+    assert!(full.left_waiting.is_empty(), "{full:?}");
+    let limit = "team-max 2\nat 3 submit job-2 tasks=1 cpus=2 run=300\n";
+    let limit = play(&format!("{limit}{day}"), Faults::default()).expect("a scenario");
+    assert!(limit.left_waiting.is_empty(), "{limit:?}");
+}
+
+/// A job that its user knows to be unsound, here only by name, is told as accepted.
+#[test]
+fn unsound_jobs_that_are_accepted_are_found() {
+    let day = "at 1 submit job-1 odd tasks=2 cpus=2 run=4\nend 20\n";
+    let outcome = play(day, Faults::default()).expect("a scenario");
+    assert!(outcome.wrong.iter().any(|w| w.starts_with("accepted though")), "{outcome:?}");
+}
+
+/// Tasks that begin after their user was told that they are cancelled are counted.
+#[test]
+fn starts_after_a_confirmed_cancellation_are_counted() {
+    let day = "owned 4\nat 5 submit job-1 tasks=8 cpus=2 run=30\nat 5.6 cancel job-1\nend 40\n";
+    let sound = play(day, Faults::default()).expect("a scenario");
+    let deaf = play(&format!("double deaf-to-kill\n{day}"), Faults::default()).expect("a day");
+    assert!(deaf.late_starts > sound.late_starts, "{deaf:?}");
+}
