--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -323,7 +323,7 @@
     /// Guard 4: H after the last exchange that showed us both the jobs and our
     /// hold on the block, we stop answering workers.
     fn entitled(&self, now: Time) -> bool {
-        let limit = self.settings.answer_limit_s();
+        let limit = self.settings.serving_deadline_s();
         if broken!(self.faults, no_h) {
             return self.place.is_some();
         }
@@ -681,7 +681,7 @@
         // Machines that are gone are silent to every controller. Who has stepped
         // back already, and leads again, stays until silence is proof; else the
         // lead goes round for ever and nothing is ever proven.
-        let proof_s = self.settings.answer_limit_s() + w.lease_s;
+        let proof_s = self.settings.serving_deadline_s() + w.lease_s;
         if self.stepped_back.is_some_and(|at| now.since(at) < proof_s * 3.0 + 30.0) {
             return;
         }
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -513,7 +513,7 @@
         // exchange, and its workers live lease_s longer. That the last holder
         // was a process of ours that ended does not help: the one before it
         // may be cut off and still be answering.
-        let old_answers = settings.answer_limit_s();
+        let old_answers = settings.serving_deadline_s();
         Placement {
             token,
             took: now,
--- a/crates/vocab/src/settings.rs
+++ b/crates/vocab/src/settings.rs
@@ -254,7 +254,7 @@
         if p.machine_limits.max_connections < 32 {
             return Err(bad("params.machine_limits.max_connections", "is below 32"));
         }
-        if self.answer_limit_s() < p.workers.report_s {
+        if self.serving_deadline_s() < p.workers.report_s {
             return Err(bad(
                 "params.workers.cancel_s",
                 format!(
@@ -287,7 +287,7 @@
     /// H: how long a holder goes on answering workers without a successful
     /// exchange with the state service. H + lease_s + margin < cancel_s keeps
     /// a cancellation that the holder could not see within its time.
-    pub fn answer_limit_s(&self) -> f64 {
+    pub fn serving_deadline_s(&self) -> f64 {
         let w = &self.params.workers;
         (w.cancel_s - w.lease_s) * 0.999 - self.margin_s()
     }
--- a/crates/vocab/src/settings/tests.rs
+++ b/crates/vocab/src/settings/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn unknown_fields_pass_and_bad_ones_are_named() {
     let s = Settings::parse("t", SAMPLE).expect("the sample is sound");
-    assert!(s.answer_limit_s() + 10.0 + 1.0 < 30.0);
+    assert!(s.serving_deadline_s() + 10.0 + 1.0 < 30.0);
     for (from, to, names) in [
         ("lease_s = 10.0", "lease_s = 29.0", "cancel_s"),
         ("rps = 100.0", "rps = 0.0", "state.rps"),
