--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -781,7 +781,7 @@
                 }
             }
             Event::ToWorker { node, life, call, machine, body } => {
-                let reached = |w: &&mut Worker| self.now >= w.cut_until.max(w.deaf_until);
+                let reached = |w: &&mut Worker| self.now >= w.cut_until.max(w.inbound_cut_until);
                 let Some(w) = self.workers.get_mut(&machine).filter(reached) else {
                     return;
                 };
@@ -811,7 +811,7 @@
                 let doubles = self.doubles;
                 let n = self.nodes.len();
                 let Some(w) = self.workers.get_mut(&machine) else { return };
-                if self.now < w.cut_until.max(w.deaf_until) {
+                if self.now < w.cut_until.max(w.inbound_cut_until) {
                     return;
                 }
                 let before = w.token();
@@ -887,7 +887,7 @@
         let Some(w) = self.workers.get_mut(&machine) else { return };
         let Some((node, serial, body)) = w.send(self.now, doubles) else { return };
         let node = node % count;
-        let cut = self.now < w.cut_until.max(w.mute_until);
+        let cut = self.now < w.cut_until.max(w.outbound_cut_until);
         let every = (w.report_s * 1e6) as u64;
         self.push(self.now + every, Event::Report { machine });
         self.push(self.now + 4 * SECOND, Event::ReportTimedOut { machine, serial });
@@ -1106,7 +1106,7 @@
         let woken = self.now >= w.hang_until + lease || w.answered_since(w.hang_until);
         let ill = (w.hang_until > 0 && !woken)
             || self.now < w.cut_until
-            || self.now < w.deaf_until.max(w.mute_until) + lease
+            || self.now < w.inbound_cut_until.max(w.outbound_cut_until) + lease
             || w.sick
             || w.slow > 1.0
             || w.reclaim_at.is_some();
@@ -1157,8 +1157,8 @@
         self.state_slow = (1.0, 0);
         self.copies.2 = self.copies.2.min(now);
         for w in self.workers.values_mut() {
-            w.deaf_until = w.deaf_until.min(now);
-            w.mute_until = w.mute_until.min(now);
+            w.inbound_cut_until = w.inbound_cut_until.min(now);
+            w.outbound_cut_until = w.outbound_cut_until.min(now);
         }
         // An outage that is cut short gives the leases their full time from now on, not
         // from when it was to end: nobody could take a lead that was left for a minute.
@@ -1256,8 +1256,9 @@
         let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
         let expired = std::mem::take(&mut w.expired);
         self.tally.expired += expired;
-        let ill =
-            self.now < w.hang_until.max(w.cut_until).max(w.deaf_until).max(w.mute_until) + lease;
+        let ill = self.now
+            < w.hang_until.max(w.cut_until).max(w.inbound_cut_until).max(w.outbound_cut_until)
+                + lease;
         if expired > 0 && !ill && self.now > self.explained_until {
             self.tally.unexplained += expired;
         }
--- a/crates/sim/src/days.rs
+++ b/crates/sim/src/days.rs
@@ -90,10 +90,10 @@
             "capacity",
             "state",
             "zone_cut",
-            "deaf",
+            "cut-inbound",
             "copies",
             "but_workers",
-            "blink",
+            "fast-restart",
             "reboot",
         ];
         let kind = KINDS.choose(&mut self.rng).copied().unwrap_or("crash");
@@ -130,14 +130,16 @@
                 format!("freeze {who} {:.1}", hang)
             }
             "roll" => format!("roll every={:.1}", self.between(8.0, 25.0)),
-            "deaf" => format!("deaf count={count:.0} for={:.1}", cut.max(lease * 1.2)),
+            "cut-inbound" => {
+                format!("cut-inbound count={count:.0} for={:.1}", cut.max(lease * 1.2))
+            }
             "reboot" => format!("reboot count={count:.0}"),
             "copies" => {
                 let (part, long) = (self.between(0.05, 0.4), self.between(20.0, 60.0));
                 format!("copies {part:.2} most={:.1} for={long:.0}", self.between(2.0, 2.5 * lease))
             }
             "but_workers" => format!("cut {who} but-workers {cut:.1}{hold}"),
-            "blink" => {
+            "fast-restart" => {
                 // Twice, the second amid the election that the first began; copies of
                 // old messages, and repeats of requests, come after it.
                 let again = at + self.between(0.2, 3.0);
@@ -145,8 +147,8 @@
                 let most = self.between(1.0, 2.0 * lease);
                 self.at(at - 5.0, "", &format!("copies 0.30 most={most:.1} for=15"));
                 let after = self.between(0.1, 0.9);
-                self.at(again, "", &format!("blink {who} {after:.2}"));
-                format!("blink {who} {:.2}", self.between(0.1, 0.9))
+                self.at(again, "", &format!("fast-restart {who} {after:.2}"));
+                format!("fast-restart {who} {:.2}", self.between(0.1, 0.9))
             }
             "peers_refuse" => format!("peers-refuse {:.1}", self.between(20.0, 40.0)),
             "spot_taken" => format!("take count={:.0}", count * 2.0),
--- a/crates/sim/src/meetings.rs
+++ b/crates/sim/src/meetings.rs
@@ -71,7 +71,7 @@
     fn machines(&mut self, at: f64) {
         let count = (self.machines * self.between(0.1, 0.5)).ceil();
         let long = self.lease * self.between(0.2, 1.6);
-        let kind = self.of(&["deaf", "hang", "cut-machines", "mute"]);
+        let kind = self.of(&["cut-inbound", "hang", "cut-machines", "cut-outbound"]);
         self.at(at, kind, &format!("{kind} count={count:.0} for={long:.1}"));
     }
 
@@ -104,7 +104,7 @@
         if self.rng.gen_bool(0.4) {
             let back = self.of(&[0.1, 0.3, 2.0]);
             let who = self.of(&["follower", "leader", "all", "c"]);
-            self.line(at, &format!("when cancelled 0.003 blink {who} {back}"));
+            self.line(at, &format!("when cancelled 0.003 fast-restart {who} {back}"));
         }
         if self.rng.gen_bool(0.5) {
             self.machines(at + between * 0.5);
@@ -168,7 +168,11 @@
             }
             22 => {
                 let count = (self.machines * self.between(0.1, 0.5)).ceil();
-                self.at(at, "mute", &format!("mute count={count:.0} for={long:.1}"));
+                self.at(
+                    at,
+                    "cut-outbound",
+                    &format!("cut-outbound count={count:.0} for={long:.1}"),
+                );
             }
             0 => self.at(at, "refused", &format!("cut {who} refused {long:.1}")),
             1 => self.at(at, "cut_state", &format!("cut {who} state {long:.1}{hold}")),
@@ -186,10 +190,10 @@
             6 => {
                 let after = self.of(&[0.05, 0.2, 0.5, 0.9]);
                 let who = self.of(&["leader", "leader", "all", "a"]);
-                self.at(at, "blink", &format!("blink {who} {after}"));
+                self.at(at, "fast-restart", &format!("fast-restart {who} {after}"));
                 if self.rng.gen_bool(0.5) {
                     let again = at + self.between(0.0, 2.0);
-                    self.at(again, "blink", &format!("blink all {after}"));
+                    self.at(again, "fast-restart", &format!("fast-restart all {after}"));
                 }
             }
             7 => {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -245,8 +245,8 @@
             sim.crash(i);
             sim.explain_until(sim.now);
         }
-        "blink" => {
-            // blink WHO SECONDS: it ends and is back that soon; `all`: each of them.
+        "fast-restart" => {
+            // fast-restart WHO SECONDS: it ends and is back that soon; `all`: each of them.
             let after = seconds(arg(2)?)?;
             let who: Vec<usize> = match arg(1)? {
                 "all" => (0..sim.settings.len()).collect(),
@@ -364,7 +364,7 @@
         }
         "forget-changes" => sim.state.keep_changes = number(words, "keep", 3.0)? as usize,
         "stuck-boots" => sim.cloud.stuck = number(words, "count", 2.0)? as u32,
-        "stray" => {
+        "unlisted" => {
             let zone = sim.cloud.zones[0].clone();
             let shape = sim.cloud.kinds[0].label.clone();
             let id = sim.cloud.add(sim.now, &shape, &zone, true, Some(SECOND));
@@ -387,8 +387,8 @@
             sim.troubles.slow = (seconds(arg(1)?)?, until);
         }
         "lose-cloud-replies" => sim.troubles.lose_cloud = number(words, "part", 0.2)?,
-        what @ ("take" | "notice" | "hang" | "cut-machines" | "sick" | "slow" | "die" | "deaf"
-        | "mute" | "reboot") => {
+        what @ ("take" | "notice" | "hang" | "cut-machines" | "sick" | "slow" | "die"
+        | "cut-inbound" | "cut-outbound" | "reboot") => {
             // The machines with the most on them, as the bench would choose.
             let count = number(words, "count", 1.0)? as usize;
             let until = sim.now + (number(words, "for", 10.0)? * 1e6) as u64;
@@ -415,8 +415,8 @@
                     "notice" => w.reclaim_at = Some(until),
                     "hang" => w.hang_until = until,
                     "cut-machines" => w.cut_until = until,
-                    "deaf" => w.deaf_until = until,
-                    "mute" => w.mute_until = until,
+                    "cut-inbound" => w.inbound_cut_until = until,
+                    "cut-outbound" => w.outbound_cut_until = until,
                     "reboot" if words.contains(&"anew") => w.begin_anew(sim.now),
                     "reboot" => w.reboot(sim.now),
                     "sick" => w.sick = true,
--- a/crates/sim/src/waiting.rs
+++ b/crates/sim/src/waiting.rs
@@ -42,7 +42,8 @@
             }
         }
         let healthy = |w: &&Worker| {
-            let ill = w.hang_until.max(w.cut_until).max(w.deaf_until).max(w.mute_until);
+            let ill =
+                w.hang_until.max(w.cut_until).max(w.inbound_cut_until).max(w.outbound_cut_until);
             self.now >= ill && !w.sick && w.slow <= 1.0 && w.reclaim_at.is_none()
         };
         let rooms: Vec<(&Worker, (f64, f64))> =
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -56,9 +56,9 @@
     pub cut_until: Us,
     pub hang_until: Us,
     /// Its reports go out, and neither answers nor commands reach it until then.
-    pub deaf_until: Us,
+    pub inbound_cut_until: Us,
     /// Its reports reach no controller, while direct commands reach it, until then.
-    pub mute_until: Us,
+    pub outbound_cut_until: Us,
     pub reclaim_at: Option<Us>,
     pub sick: bool,
     pub slow: f64,
@@ -97,8 +97,8 @@
             next_report: now,
             cut_until: 0,
             hang_until: 0,
-            deaf_until: 0,
-            mute_until: 0,
+            inbound_cut_until: 0,
+            outbound_cut_until: 0,
             reclaim_at: None,
             sick: false,
             slow: 1.0,
