--- a/crates/sim/src/scenario/tests.rs
+++ b/crates/sim/src/scenario/tests.rs
@@ -24,7 +24,7 @@
 #[test]
 fn a_job_left_waiting_beside_room_is_found() {
     let freeze = "at 2 op a POST /v1/directives {\"target\":{\"team\":\"one\"},\"set\":true}\n";
-    let day = "owned 2\nspot 0\nordinary 0\nlarge 0\nsettle 110\nat 4 submit job-1 tasks=2 cpus=2 run=4\nend 10\n";
+    let day = "owned 2\nspot 0\nordinary 0\nlarge 0\nsettle 110\nat 1 submit job-9 tasks=1 cpus=2 run=108 team=two\nat 4 submit job-1 tasks=2 cpus=2 run=4\nend 10\n";
     let sound = play(day, Faults::default()).expect("a scenario");
     assert!(sound.wrong.is_empty() && sound.left_waiting.is_empty(), "{sound:?}");
     let frozen = play(&format!("{freeze}{day}"), Faults::default()).expect("a scenario");
@@ -48,7 +48,10 @@
 /// Tasks that begin after their user was told that they are cancelled are counted.
 #[test]
 fn starts_after_a_confirmed_cancellation_are_counted() {
-    let day = "owned 4\nat 5 submit job-1 tasks=8 cpus=2 run=30\nat 5.6 cancel job-1\nend 40\n";
+    let jobs = [5.5, 5.8, 6.1, 6.4, 6.7].iter().enumerate().map(|(n, cancelled)| {
+        format!("at 5 submit job-{n} tasks=3 cpus=2 run=30\nat {cancelled} cancel job-{n}\n")
+    });
+    let day = &format!("owned 4\n{}end 40\n", jobs.collect::<String>());
     let sound = play(day, Faults::default()).expect("a scenario");
     let deaf = play(&format!("double deaf-to-kill\n{day}"), Faults::default()).expect("a day");
     assert!(deaf.late_starts > sound.late_starts, "{deaf:?}");
