--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -49,6 +49,8 @@
     pub new_rental: bool,
     /// What is cancelled is inherited like what is not.
     pub inherited_runs: bool,
+    /// Idle machines are given back though it is our own link that is silent.
+    pub blind_return: bool,
     /// Absence from a direct answer ends what was only just sent.
     pub direct_absence: bool,
     /// A result is cleared on its machine before the state service knows it.
@@ -58,7 +60,7 @@
 /// A switch's name in scenario files, and the switch.
 type Named = (&'static str, fn(&mut Faults) -> &mut bool);
 
-const NAMES: [Named; 22] = [
+const NAMES: [Named; 23] = [
     ("unbounded", |f| &mut f.unbounded),
     ("hasty", |f| &mut f.hasty),
     ("scattered", |f| &mut f.scattered),
@@ -79,6 +81,7 @@
     ("no_word", |f| &mut f.no_word),
     ("new_rental", |f| &mut f.new_rental),
     ("inherited_runs", |f| &mut f.inherited_runs),
+    ("blind_return", |f| &mut f.blind_return),
     ("direct_absence", |f| &mut f.direct_absence),
     ("early_clear", |f| &mut f.early_clear),
 ];
--- a/crates/controller/src/fleet/wanted.rs
+++ b/crates/controller/src/fleet/wanted.rs
@@ -201,6 +201,8 @@
         // behind it. A holder that was refused for a minute found all its machines idle
         // as it came back, and gave the fleet away while its jobs waited.
         let blind = self.groups.iter().any(|(g, _)| *g == Group::Ours);
+        #[cfg(feature = "faults")]
+        let blind = blind && !self.faults.blind_return;
         let mut out = Vec::new();
         for (id, i) in &mut self.instances {
             if i.release != Release::No || blind && self.shielded.contains_key(id) {
