A machine that is not heard since a takeover is believed when it answers a direct command with our token; kept reports as a scenario

Cause: machines that reach nobody at a takeover were told our token and their answers dropped, so that a team at its limit waited for H and a lease though they could be asked.

--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -132,15 +132,21 @@
         let moment = Moment { tenure: report.tenure, tick: report.tick };
         let ours = report.baton == self.token.0;
         let silent_s = self.silent_s();
-        let silent = |m: &&mut Machine| m.heard.is_some_and(|h| now.since(h) > silent_s);
+        let silent = |m: &&mut Machine| m.heard.is_none_or(|h| now.since(h) > silent_s);
         let Some(m) = self.machines.get_mut(&id).filter(silent) else { return };
         if !ours || !self.loaded {
             return;
         }
         let newest = m.last.max(m.told);
-        if m.last.is_none() || newest >= Some(moment) {
+        if newest.is_some_and(|n| n >= moment) {
             return;
         }
+        // Not heard since the takeover: that our token is in it shows that it was written
+        // in our term, and that its worker heeds no earlier holder any more.
+        m.endpoint = m.endpoint.or(report.endpoint.parse().ok());
+        if m.zone.is_empty() {
+            m.zone.clone_from(&report.yard);
+        }
         let newer_tenure = newest.is_some_and(|l| l.tenure < moment.tenure);
         // Apart from `last`: a report that was sent before is still one to be answered,
         // from which its worker's lease, and so its silence, counts.
@@ -575,14 +581,18 @@
     /// Machines with tasks that fell silent: perhaps they reach nobody, and can be
     /// reached. They are asked in turn, and told once more what is to stop there.
     pub fn silent_with_tasks(&self, now: Time) -> Vec<(MachineId, SocketAddrV4, u64, Vec<Order>)> {
-        let quiet = |m: &Machine| m.heard.is_some_and(|h| now.since(h) > self.silent_s());
+        let quiet = |m: &Machine| match m.heard {
+            Some(at) => m.synced && now.since(at) > self.silent_s(),
+            // Since a takeover it has said something only when it was asked.
+            None => m.told.is_some(),
+        };
         let there = |m: &Machine| m.entries.values().any(Entry::may_be_there);
-        let machines = self.machines.iter().filter(|(_, m)| m.synced && quiet(m) && there(m));
+        let machines = self.machines.iter().filter(|(_, m)| quiet(m) && there(m));
         let call = |(id, m): (&MachineId, &Machine)| {
             let stop = |(_, e): &(&TaskId, &Entry)| e.may_be_there() && e.kill.is_some();
             let kills = m.entries.iter().filter(stop).take(MOST_ORDERS);
             let orders = kills.map(|(t, e)| order("kill", *t, e.attempt, e.kill)).collect();
-            Some((*id, m.endpoint?, m.last?.tenure, orders))
+            Some((*id, m.endpoint?, m.last.max(m.told)?.tenure, orders))
         };
         machines.filter_map(call).collect()
     }
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -349,3 +349,40 @@
         }
     }
 }
+
+/// A machine that reaches nobody at a takeover is told our token directly: what it answers
+/// carries it, and proves what a report would; what is cancelled there is stopped.
+#[test]
+fn a_direct_answer_proves_also_what_was_inherited() {
+    for (baton, listed, loaded) in
+        [(9, false, true), (9, true, true), (4, false, true), (9, false, false)]
+    {
+        let (book, mut place) = cancelled("job-1");
+        let task = TaskId { job: job("job-1"), index: 0 };
+        let mut there = entry(State::Inherited);
+        there.kill = Some(0.0);
+        let mut m = Machine::new(at(NOW));
+        m.entries.insert(task, there);
+        place.machines.insert(machine(), m);
+        place.loaded = loaded;
+        assert!(place.silent_with_tasks(at(NOW + 60.0)).is_empty(), "where it is is not known");
+        let said = report(5, baton, if listed { &["job-1/0"] } else { &[] });
+        place.direct_answer(at(NOW), &said, &book);
+        let m = place.machine(machine()).expect("known");
+        assert_eq!(m.is_empty(), loaded && baton == 9 && !listed);
+        assert!(m.heard.is_none() && m.answered.is_none() && !m.ever_synced, "silence goes on");
+        let asked = place.silent_with_tasks(at(NOW));
+        assert_eq!(asked.len(), usize::from(listed));
+        assert!(asked.iter().all(|(.., orders)| killed(orders) == ["job-1/0"]));
+        // What an earlier session or an older message says changes nothing.
+        let left = place.machine(machine()).expect("known").entries.len();
+        place.direct_answer(at(NOW), &report(5, 9, &[]), &book);
+        assert_eq!(
+            place.machine(machine()).expect("known").entries.len(),
+            match loaded {
+                true if baton == 4 => 0,
+                _ => left,
+            }
+        );
+    }
+}
--- a/crates/sim/src/troubles.rs
+++ b/crates/sim/src/troubles.rs
@@ -59,8 +59,8 @@
         for (machine, bodies) in kept {
             for body in bodies {
                 for node in 0..self.settings.len() {
-                    // Within the time in which it reads its books, or shortly after.
-                    let at = self.now + self.rng.gen_range(0..40_000);
+                    // While it reads its books, and just after.
+                    let at = self.now + self.rng.gen_range(0..600_000);
                     self.push(at, Event::copy(machine, node, body.clone()));
                 }
             }
