--- a/crates/controller/src/intake/tests.rs
+++ b/crates/controller/src/intake/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::calls::MirrorCall;
+use crate::split::tests::c8;
 use beamhinge_vocab::settings::SAMPLE;
 use serde_json::{json, Value as Json};
 
@@ -96,18 +97,7 @@
     let mut settings = Settings::parse("t", SAMPLE).expect("the sample is sound");
     settings.params.teams[0].name = "one".into();
     settings.params.teams[0].cpus_max = 16.0;
-    let shapes = [Shape {
-        label: "c8".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        rate: 1.0,
-        low_price: 0.3,
-        boot_s: 30.0,
-        zones: vec!["north".into()],
-    }];
+    let shapes = [c8()];
     let judged = |field: &str, value: Json, known: bool| {
         let mut body = submission();
         body[field] = value;
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::split::tests::c8;
 
 const NOW: f64 = 10.0;
 
@@ -297,18 +298,7 @@
     settings.params.teams[0].name = "one".into();
     let (mut book, mut place) = cancelled("job-1");
     (place.loaded, place.team_names[0]) = (true, "one".into());
-    let shapes = [Shape {
-        label: "c8".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        rate: 1.0,
-        low_price: 0.3,
-        boot_s: 30.0,
-        zones: vec!["north".into()],
-    }];
+    let shapes = [c8()];
     let used = |place: &Placement, now| place.round(now, &settings, &shapes).team_used[0].0;
     place.report(at(NOW), &report(7, 9, &["job-1/0", "job-1/2"]), &shapes, &book);
     assert_eq!(used(&place, at(NOW)), 2.0);
--- a/crates/controller/src/split.rs
+++ b/crates/controller/src/split.rs
@@ -388,4 +388,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/controller/src/split/tests.rs
+++ b/crates/controller/src/split/tests.rs
@@ -1,4 +1,20 @@
 use super::*;
+
+/// A machine type for tests: 8 CPUs, in one zone.
+pub(crate) fn c8() -> Shape {
+    Shape {
+        label: "c8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        rate: 1.0,
+        low_price: 0.3,
+        boot_s: 30.0,
+        zones: vec!["north".into()],
+    }
+}
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 #[test]
