--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -794,7 +794,7 @@
         let (token, room) = (place.token(), MOST_ASKED - self.nudges.len());
         let asked =
             |id: &MachineId| self.asked.get(id).is_some_and(|t| now.since(*t) < ASK_AGAIN_S);
-        let silent = place.silent_with_tasks(now).into_iter().filter(|(id, ..)| !asked(id));
+        let silent = place.silent_with_tasks(now).filter(|(id, ..)| !asked(id));
         let silent: Vec<_> = silent.take(room).collect();
         self.asked.retain(|_, t| now.since(*t) < ASK_AGAIN_S);
         for (machine, endpoint, tenure, orders) in silent {
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -271,7 +271,7 @@
 
     /// What keeps all tasks from a machine.
     pub(super) fn hindrance(&self, now: Time, m: &Machine) -> Option<Hindrance> {
-        let alive = m.heard.is_some_and(|h| now.since(h) < self.report_s * 2.0 + 1.0);
+        let alive = m.heard.is_some_and(|h| now.since(h) < self.silent_s());
         let all = [
             (m.drain.is_some(), Hindrance::Drained),
             (m.draining, Hindrance::Leaving),
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -57,6 +57,7 @@
             return Vec::new();
         }
         let ours = report.baton == self.token.0;
+        let silent_s = self.silent_s();
         let m = self.machines.entry(id).or_insert_with(|| {
             self.replan = true;
             Machine::new(now)
@@ -88,7 +89,7 @@
         if lives || broken!(self.faults, first_word) {
             m.heard = Some(now);
         }
-        m.steady = away || gap_s <= self.report_s * 2.0 + 1.0;
+        m.steady = away || gap_s <= silent_s;
         m.shape = shapes.iter().position(|s| s.label == report.shape);
         m.zone.clone_from(&report.yard);
         m.spot = report.loaners;
@@ -574,27 +575,30 @@
     }
 
     /// Silent for longer than two reports take.
-    fn silent_s(&self) -> f64 {
+    pub(super) fn silent_s(&self) -> f64 {
         self.report_s * 2.0 + 1.0
     }
 
     /// Machines with tasks that fell silent: perhaps they reach nobody, and can be
     /// reached. They are asked in turn, and told once more what is to stop there.
-    pub fn silent_with_tasks(&self, now: Time) -> Vec<(MachineId, SocketAddrV4, u64, Vec<Order>)> {
-        let quiet = |m: &Machine| match m.heard {
+    pub fn silent_with_tasks(
+        &self,
+        now: Time,
+    ) -> impl Iterator<Item = (MachineId, SocketAddrV4, u64, Vec<Order>)> + '_ {
+        let quiet = move |m: &Machine| match m.heard {
             Some(at) => m.synced && now.since(at) > self.silent_s(),
             // Since a takeover it has said something only when it was asked.
             None => m.told.is_some(),
         };
         let there = |m: &Machine| m.entries.values().any(Entry::may_be_there);
-        let machines = self.machines.iter().filter(|(_, m)| quiet(m) && there(m));
+        let machines = self.machines.iter().filter(move |(_, m)| quiet(m) && there(m));
         let call = |(id, m): (&MachineId, &Machine)| {
             let stop = |(_, e): &(&TaskId, &Entry)| e.may_be_there() && e.kill.is_some();
             let kills = m.entries.iter().filter(stop).take(MOST_ORDERS);
             let orders = kills.map(|(t, e)| order("kill", *t, e.attempt, e.kill)).collect();
             Some((*id, m.endpoint?, m.last.max(m.told)?.tenure, orders))
         };
-        machines.filter_map(call).collect()
+        machines.filter_map(call)
     }
 
     /// A result counts even if we lost track of its task, and may be cleared
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -277,14 +277,14 @@
     place.loaded = true;
     place.report(at(NOW), &report(7, 9, &[]), &[], &book);
     let silent = at(NOW + place.silent_s() + 0.1);
-    assert!(place.silent_with_tasks(silent).is_empty(), "nothing is there");
+    assert!(place.silent_with_tasks(silent).next().is_none(), "nothing is there");
     let task = TaskId { job: job("job-1"), index: 0 };
     let mut there = entry(State::Seen(Phase::Saving));
     there.kill = Some(0.0);
     let m = place.machines.get_mut(&machine()).expect("known");
     m.entries.insert(task, there);
-    assert!(place.silent_with_tasks(at(NOW + 1.0)).is_empty(), "it reports");
-    let asked = place.silent_with_tasks(silent);
+    assert!(place.silent_with_tasks(at(NOW + 1.0)).next().is_none(), "it reports");
+    let asked: Vec<_> = place.silent_with_tasks(silent).collect();
     let [(id, _, tenure, orders)] = asked.as_slice() else { panic!("{asked:?}") };
     assert_eq!((*id, *tenure, killed(orders)), (machine(), 1, vec!["job-1/0"]));
 }
@@ -355,13 +355,16 @@
         m.entries.insert(task, there);
         place.machines.insert(machine(), m);
         place.loaded = loaded;
-        assert!(place.silent_with_tasks(at(NOW + 60.0)).is_empty(), "where it is is not known");
+        assert!(
+            place.silent_with_tasks(at(NOW + 60.0)).next().is_none(),
+            "where it is is not known"
+        );
         let said = report(5, baton, if listed { &["job-1/0"] } else { &[] });
         place.direct_answer(at(NOW), &said, &book);
         let m = place.machine(machine()).expect("known");
         assert_eq!(m.is_empty(), loaded && baton == 9 && !listed);
         assert!(m.heard.is_none() && m.answered.is_none() && !m.ever_synced, "silence goes on");
-        let asked = place.silent_with_tasks(at(NOW));
+        let asked: Vec<_> = place.silent_with_tasks(at(NOW)).collect();
         assert_eq!(asked.len(), usize::from(listed));
         assert!(asked.iter().all(|(.., orders)| killed(orders) == ["job-1/0"]));
         // What an earlier session or an older message says changes nothing.
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -576,38 +576,23 @@
                         let late = path == "/commit" && self.rng.gen_bool(self.late);
                         let at = if late { at + self.rng.gen_range(1..20) * SECOND } else { at };
                         let quiet = lost || late;
+                        let to_state = |path, body, quiet, slow| Event::ToState {
+                            node: i,
+                            life,
+                            call: id,
+                            method,
+                            path,
+                            body,
+                            quiet,
+                            slow,
+                        };
                         // Watches and reads change nothing, however often they come.
                         let changes = path == "/commit" || path.starts_with("/holds");
                         if let Some(again) = self.copied().filter(|_| changes) {
                             let (path, body) = (path.clone(), body.clone());
-                            let quiet = true;
-                            self.push(
-                                again,
-                                Event::ToState {
-                                    node: i,
-                                    life,
-                                    call: id,
-                                    method,
-                                    path,
-                                    body,
-                                    quiet,
-                                    slow: 0,
-                                },
-                            );
+                            self.push(again, to_state(path, body, true, 0));
                         }
-                        self.push(
-                            at,
-                            Event::ToState {
-                                node: i,
-                                life,
-                                call: id,
-                                method,
-                                path,
-                                body,
-                                quiet,
-                                slow,
-                            },
-                        );
+                        self.push(at, to_state(path, body, quiet, slow));
                     }
                     Dest::Cloud => {
                         if let Some(then) = self.passes(i, Far::Cloud, at) {
@@ -1256,9 +1241,7 @@
         let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
         let expired = std::mem::take(&mut w.expired);
         self.tally.expired += expired;
-        let ill = self.now
-            < w.hang_until.max(w.cut_until).max(w.inbound_cut_until).max(w.outbound_cut_until)
-                + lease;
+        let ill = self.now < w.troubled_until() + lease;
         if expired > 0 && !ill && self.now > self.explained_until {
             self.tally.unexplained += expired;
         }
--- a/crates/sim/src/waiting.rs
+++ b/crates/sim/src/waiting.rs
@@ -42,9 +42,7 @@
             }
         }
         let healthy = |w: &&Worker| {
-            let ill =
-                w.hang_until.max(w.cut_until).max(w.inbound_cut_until).max(w.outbound_cut_until);
-            self.now >= ill && !w.sick && w.slow <= 1.0 && w.reclaim_at.is_none()
+            self.now >= w.troubled_until() && !w.sick && w.slow <= 1.0 && w.reclaim_at.is_none()
         };
         let rooms: Vec<(&Worker, (f64, f64))> =
             self.workers.values().filter(healthy).map(|w| (w, w.free(&self.jobs))).collect();
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -172,6 +172,12 @@
             "reclaimInS": reclaim, "pieces": pieces, "surprise": {"a": [1, null]}})
     }
 
+    /// Until when it hangs or one of its links is cut.
+    pub fn troubled_until(&self) -> Us {
+        let cut = self.cut_until.max(self.inbound_cut_until).max(self.outbound_cut_until);
+        self.hang_until.max(cut)
+    }
+
     /// The highest token it has seen.
     pub fn token(&self) -> u64 {
         self.baton
