--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -19,7 +19,7 @@
 use beamhinge_ageing::Policy;
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_operators::messages::What;
-use beamhinge_standby::{Own as Watcher, Vigil};
+use beamhinge_standby::{FailureDetector, Observer};
 use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors, Work};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Counts, Dest, Out, Service};
@@ -88,7 +88,7 @@
     /// What peers say they hear, for when we hold the block.
     elsewhere: Hearsay,
     /// Watching over the holder, while we are none.
-    vigil: Vigil,
+    holder_detector: FailureDetector,
     stall: Stall,
     /// Who was found stuck as a holder, and when.
     stuck: BTreeMap<String, Time>,
@@ -139,7 +139,7 @@
             visitors: Visitors::default(),
             told_visitors: Time::default(),
             elsewhere: Hearsay::default(),
-            vigil: Vigil::default(),
+            holder_detector: FailureDetector::default(),
             stall: Stall::new(stuck_after_s(&settings)),
             stuck: BTreeMap::new(),
             directives: Directives::default(),
@@ -301,12 +301,12 @@
             (None, _) => {
                 let machine = MachineId::parse(&report.host);
                 let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
-                machine.into_iter().for_each(|m| self.vigil.came(now, m));
+                machine.into_iter().for_each(|m| self.holder_detector.reported_here(now, m));
                 let holder = self.peers.holder(now).or(self.leader.other_leader());
                 // Sent to the holder a moment ago and back again: it is not
                 // answered there, and would wait for its time-out once more. Nor is
                 // it named where nothing is heard of it any more.
-                let foreman = holder.filter(|_| !deaf && !self.vigil.quiet(now));
+                let foreman = holder.filter(|_| !deaf && !self.holder_detector.is_silent(now));
                 if let (Some(m), Some(_)) = (machine, foreman) {
                     self.visitors.sent_on(m);
                 }
@@ -518,7 +518,7 @@
                 if self.peers.token_of(&label) != Some(token) {
                     self.visitors.holder_changed();
                 }
-                self.vigil.word(now, &label);
+                self.holder_detector.heartbeat(now, &label);
                 self.peers.holds(now, &label, Token(token));
                 // Guard 1: a higher token was taken, so ours is over.
                 let standing = self.leader.claims(now, token);
@@ -708,14 +708,15 @@
             others.filter(|l| *l != holder && *l < own.as_str()).count() as u32
         };
         let holder = self.leader.other_leader().unwrap_or("").to_string();
-        let own = Watcher {
+        let own = Observer {
             ledger_age_s: self.ledger_age(now),
             // What changed since is read after the take, before anything is placed.
             warm: self.book.loaded(),
             back_for_s: self.presence.back_for(now),
             turn: turn(&holder),
         };
-        if let Some(gone) = self.vigil.gone(now, own).filter(|gone| *gone == holder) {
+        if let Some(gone) = self.holder_detector.suspected(now, own).filter(|gone| *gone == holder)
+        {
             tracing::info!("{gone} is not heard and its workers come here: taking the lead");
             self.leader.presume_gone(gone);
             self.leader.tick(now, &mut self.ledger);
--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -8,6 +8,6 @@
 //! Sans-IO: words and visitors come in with their times, a finding goes out.
 //! `docs/standby.md` has the ways that were weighed.
 
-mod vigil;
+mod failure_detector;
 
-pub use vigil::{Own, Vigil};
+pub use failure_detector::{FailureDetector, Observer};
