The lead is taken 1.5 s after the last heartbeat, by witnesses that carry the holder's token, in turns of a tenth of a second along the ring

Cause: with seven controllers a visible end of the holder stopped all starts for 3.4 to 3.8 s: heartbeats came each second, turns of 0.8 s went by label while workers try the next in the ring, the finding was looked at each half second, and the process that ended was back after 3 s and took the lead again, cold. Change: heartbeats each 0.5 s, three have to be missing (2.2 observed intervals where that is more); only workers that carry the token of the holder are witnesses; turns by the ring, 0.1 s; looked at each tick; a back-off by the changes of the last half minute; a restarted process leaves its former lead until it has read its jobs.

--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -19,7 +19,7 @@
 use beamhinge_ageing::Policy;
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_operators::messages::What;
-use beamhinge_standby::{FailureDetector, Observer};
+use beamhinge_standby::{turn_after, FailureDetector, Observer, HEARTBEAT_S};
 use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors, Work};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Counts, Dest, Out, Service};
@@ -89,6 +89,8 @@
     elsewhere: Hearsay,
     /// Watching over the holder, while we are none.
     holder_detector: FailureDetector,
+    /// When we, as the holder, last told our token to our peers.
+    heartbeat_sent: Time,
     stall: Stall,
     /// Who was found stuck as a holder, and when.
     stuck: BTreeMap<String, Time>,
@@ -140,6 +142,7 @@
             told_visitors: Time::default(),
             elsewhere: Hearsay::default(),
             holder_detector: FailureDetector::default(),
+            heartbeat_sent: Time::default(),
             stall: Stall::new(stuck_after_s(&settings)),
             stuck: BTreeMap::new(),
             directives: Directives::default(),
@@ -301,7 +304,8 @@
             (None, _) => {
                 let machine = MachineId::parse(&report.host);
                 let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
-                machine.into_iter().for_each(|m| self.holder_detector.reported_here(now, m));
+                let seen = Token(report.baton);
+                machine.into_iter().for_each(|m| self.holder_detector.reported_here(now, m, seen));
                 let holder = self.peers.holder(now).or(self.leader.other_leader());
                 // Sent to the holder a moment ago and back again: it is not
                 // answered there, and would wait for its time-out once more. Nor is
@@ -473,6 +477,7 @@
                 self.ledger.set_share(holder_share(&self.settings), HOLDER_ACCEPTS);
                 self.nudged.clear();
                 self.peers.sent = Time::default();
+                self.heartbeat_sent = Time::default();
                 self.book.want_refresh();
             }
         }
@@ -518,7 +523,7 @@
                 if self.peers.token_of(&label) != Some(token) {
                     self.visitors.holder_changed();
                 }
-                self.holder_detector.heartbeat(now, &label);
+                self.holder_detector.heartbeat(now, &label, Token(token));
                 self.peers.holds(now, &label, Token(token));
                 // Guard 1: a higher token was taken, so ours is over.
                 let standing = self.leader.claims(now, token);
@@ -530,6 +535,12 @@
     // ---- time ----
 
     fn take_tick(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
+        if now.since(self.heartbeat_sent) >= HEARTBEAT_S {
+            self.heartbeat_sent = now;
+            self.send_heartbeat(out);
+        }
+        // Every tick: half a second more would be a part of the time of an urgent start.
+        self.consider_taking_early(now);
         if now.since(self.peers.sent) >= 1.0 {
             self.peers.sent = now;
             let age = self.ledger_age(now);
@@ -549,7 +560,6 @@
                 };
                 out.push(Out::Tell { to: None, frame: encode(&ready) });
             }
-            self.tell_token(out);
             if let Some(place) = self.place.as_ref().filter(|p| p.loaded()) {
                 out.push(Out::Tell {
                     to: None,
@@ -566,7 +576,6 @@
             self.elsewhere.forget(now, WORD_S);
             self.consider_stall(now, out);
             self.consider_stepping_back(now);
-            self.consider_taking_early(now);
             self.ask_silent(now, out);
             self.obey_drain(now);
             if now.since(self.measured) >= 1.0 {
@@ -578,9 +587,10 @@
         self.run(now, wall, out);
     }
 
-    /// A holder cut off from the state service alone would answer its workers
-    /// for seconds more; its successor's word ends that.
-    fn tell_token(&self, out: &mut Vec<Out>) {
+    /// Tells our token to our peers: they watch over us by it. And a former holder that
+    /// is cut off from the state service alone would answer its workers for seconds
+    /// more; this ends its term.
+    fn send_heartbeat(&self, out: &mut Vec<Out>) {
         let Some(place) = &self.place else { return };
         let label = self.settings.label.clone();
         let holds = Frame::Holds { label, token: place.token().0 };
@@ -696,24 +706,20 @@
         }
     }
 
-    /// The holder's words stay away and its workers come here: it is gone, and
+    /// The holder's heartbeats stay away and its workers come here: it is gone, and
     /// whose turn it is takes the lead before the lease has run out.
     fn consider_taking_early(&mut self, now: Time) {
-        if self.place.is_some() || self.drained() {
+        if self.place.is_some() || !self.holder_detector.is_silent(now) || self.drained() {
             return;
         }
-        let own = &self.settings.label;
-        let turn = |holder: &str| {
-            let others = self.settings.members.iter().map(|m| m.label.as_str());
-            others.filter(|l| *l != holder && *l < own.as_str()).count() as u32
-        };
+        let members = self.settings.members.iter().map(|m| m.label.as_str());
         let holder = self.leader.other_leader().unwrap_or("").to_string();
         let own = Observer {
             ledger_age_s: self.ledger_age(now),
             // What changed since is read after the take, before anything is placed.
             warm: self.book.loaded(),
             back_for_s: self.presence.back_for(now),
-            turn: turn(&holder),
+            turn: turn_after(&holder, &self.settings.label, members),
         };
         if let Some(gone) = self.holder_detector.suspected(now, own).filter(|gone| *gone == holder)
         {
@@ -831,6 +837,7 @@
     /// All loops, until nothing more follows from what is known.
     fn run(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
         for _ in 0..4 {
+            self.leader.set_warm(self.book.loaded());
             self.leader.tick(now, &mut self.ledger);
             let follow = self.place.is_some();
             let asks = self.desk.as_ref().is_some_and(Desk::asks_book);
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -381,6 +381,13 @@
             let hang = (number(words, "hang", 0.0)? * 1e6) as Us;
             sim.cancel_now(number(words, "count", 5.0)? as usize, hang);
         }
+        "links-lossy" => {
+            // links-lossy PART most=SECONDS for=SECONDS: so many frames between
+            // controllers are lost and sent again, which holds up those behind them.
+            let (part, until) = part_until(sim, words)?;
+            let most = (number(words, "most", 1.0)?.max(0.3) * 1e6) as Us;
+            sim.troubles.frame_loss = (part, most, until);
+        }
         "links-slow" => {
             // links-slow SECONDS for=SECONDS: every message of a controller takes longer.
             let until = sim.now + (number(words, "for", 30.0)? * 1e6) as Us;
--- a/crates/sim/src/troubles.rs
+++ b/crates/sim/src/troubles.rs
@@ -28,8 +28,16 @@
     pub slow: (Us, Us),
     /// Part of the cloud's answers to rentals and releases that are lost.
     pub lose_cloud: f64,
+    /// Part of the frames between controllers that are lost and sent again, the longest
+    /// that this takes, and until when.
+    pub frame_loss: (f64, Us, Us),
+    /// Until when each link between two controllers, from and to, is held up by that.
+    held_links: BTreeMap<(usize, usize), Us>,
 }
 
+/// The shortest time after which TCP sends a lost packet again.
+const RETRANSMIT_MIN: Us = SECOND / 5;
+
 impl Sim {
     /// How much longer a message over a controller's link takes now.
     pub fn link_delay(&self) -> Us {
@@ -41,6 +49,20 @@
         }
     }
 
+    /// When a frame arrives that would do so at `at`: behind a lost one that is being
+    /// sent again, since a link keeps the order.
+    pub fn frame_arrives(&mut self, from: usize, to: usize, at: Us) -> Us {
+        let (part, most, until) = self.troubles.frame_loss;
+        if self.now >= until {
+            return at;
+        }
+        let lost = self.frame_rng.gen_bool(part);
+        let again = lost.then(|| at + self.frame_rng.gen_range(RETRANSMIT_MIN..=most));
+        let held = self.troubles.held_links.entry((from, to)).or_default();
+        *held = (*held).max(again.unwrap_or(0));
+        at.max(*held)
+    }
+
     /// A report goes out: whether a copy is kept for the next leader.
     pub fn keep_report(&mut self, machine: u64, body: &[u8]) {
         let (part, until) = self.troubles.keeps;
--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -5,9 +5,9 @@
 //! conditional transaction as ever, with a higher token; a holder that was only
 //! slow is deposed by it and has lost its turn, not its tasks.
 //!
-//! Sans-IO: words and visitors come in with their times, a finding goes out.
+//! Sans-IO: heartbeats and workers' reports come in with their times, a finding goes out.
 //! `docs/standby.md` has the ways that were weighed.
 
 mod failure_detector;
 
-pub use failure_detector::{FailureDetector, Observer};
+pub use failure_detector::{turn_after, FailureDetector, Observer, HEARTBEAT_S};
