Stand-ins: the platform in parts that processes of their own can hold: a server of the state service, a pool of workers

The state service's server keeps its log, the pool holds workers with a connection each (a caller is a part of Dest::Node), closed when a controller sends them elsewhere, as the protocol says; the cloud's list has pages of 500.

--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -85,7 +85,7 @@
         Dest::Cloud if method == Method::Post => "cloud_release",
         Dest::Cloud => "cloud_list",
         Dest::Worker(_) => "worker_do",
-        Dest::Node(_) => "node",
+        Dest::Node { .. } => "node",
     })
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -31,7 +31,8 @@
 const STATE_CONNS: usize = 24;
 const CLOUD_CONNS: usize = 8;
 const WORKER_CONNS: usize = 64;
-const NODE_CONNS: usize = 512;
+/// The status of a controller that sends its caller elsewhere.
+const MISDIRECTED: u16 = 421;
 /// An operator's client that takes nothing of its answer for so long is let go.
 const SLOW_READER_S: f64 = 10.0;
 /// How often a door that could not be opened is tried again.
@@ -603,7 +604,8 @@
             Ok(None) => {}
             Ok(Some(response)) => {
                 let id = current.take().map(|(id, _)| id);
-                if response.close || once {
+                // A caller that is sent elsewhere closes the connection (PROTOCOL).
+                if response.close || once || response.status == MISDIRECTED {
                     self.close(slot);
                 } else {
                     conn.inbuf.shrink_to(16 * 1024);
@@ -697,7 +699,7 @@
         match dest {
             Dest::State => self.wiring.external.state,
             Dest::Cloud => self.wiring.external.cloud,
-            Dest::Worker(addr) | Dest::Node(addr) => addr,
+            Dest::Worker(address) | Dest::Node { address, .. } => address,
         }
     }
 
@@ -722,7 +724,7 @@
             Dest::State => STATE_CONNS,
             Dest::Cloud => CLOUD_CONNS,
             Dest::Worker(_) => WORKER_CONNS,
-            Dest::Node(_) => NODE_CONNS,
+            Dest::Node { .. } => 1,
         };
         if count >= limit {
             return None;
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -636,7 +636,7 @@
                             );
                         }
                     }
-                    Dest::Node(_) => {}
+                    Dest::Node { .. } => {}
                     Dest::Worker(addr) => {
                         let machine = u64::from(addr.port()) - 10_000;
                         let zone = self.worker_zone(machine);
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -57,6 +57,9 @@
     pub abused: Vec<String>,
 }
 
+/// Machines on one page of the list (PROTOCOL).
+const MOST_LISTED: usize = 500;
+
 fn name(id: u64) -> String {
     format!("n-{id:06}")
 }
@@ -198,9 +201,12 @@
         let view = self.views.iter().rev().find(|(t, _)| *t <= at).map_or(&empty, |(_, v)| v);
         let view = if now < 3_600 * SECOND + 5 * SECOND { &self.hosts } else { view };
         let since = path.split("since=").nth(1).and_then(|s| number(s.split('&').next()?));
-        let hosts: Vec<Value> = view
-            .iter()
-            .filter(|(id, _)| since.is_none_or(|s| **id > s))
+        let most = path.split("most=").nth(1).and_then(|m| m.split('&').next()?.parse().ok());
+        let most = most.unwrap_or(MOST_LISTED).clamp(1, MOST_LISTED);
+        let after = view.iter().filter(|(id, _)| since.is_none_or(|s| **id > s));
+        let more = after.clone().count() > most;
+        let hosts: Vec<Value> = after
+            .take(most)
             .map(|(id, h)| {
                 let status = if h.failed_at.is_some_and(|t| t <= at) {
                     "failed"
@@ -216,7 +222,7 @@
                     "heldS": at.saturating_sub(h.rented) as f64 / 1e6})
             })
             .collect();
-        json!({"hosts": hosts, "more": false})
+        json!({"hosts": hosts, "more": more})
     }
 
     fn rent(&mut self, now: Us, body: &Value, rng: &mut StdRng) -> (u16, Value) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,20 +2,34 @@
 //! the workers, written from the published protocol. Sans-IO, so that the same
 //! models serve simulated time and real processes.
 
+use beamhinge_vocab::messages::Out;
+use beamhinge_vocab::types::{RequestId, Time};
 use beamhinge_vocab::wire;
-use serde_json::Value;
+use serde_json::{json, Value};
 
 pub mod cloud;
 pub mod platform;
 pub mod processes;
 pub mod state;
+pub mod state_server;
 pub mod user;
 pub mod worker;
+pub mod worker_pool;
 
 /// Microseconds of simulated time.
 pub type Us = u64;
 pub const SECOND: Us = 1_000_000;
 
+/// A time of the loop in the models' microseconds.
+pub fn micros(now: Time) -> Us {
+    (now.since(Time::default()) * 1e6) as Us
+}
+
+/// Answers a request with a status and nothing else.
+pub fn refuse(out: &mut Vec<Out>, to: RequestId, status: u16) {
+    out.push(Out::Answer { to, status, retry_after: None, body: wire::encode(&json!({})) });
+}
+
 /// A body as JSON; null for what is no CBOR, which no model takes for a request.
 pub fn decode(body: &[u8]) -> Value {
     let value = wire::decode::<ciborium::Value>(body).ok();
--- a/crates/standins/src/platform/tests.rs
+++ b/crates/standins/src/platform/tests.rs
@@ -1,4 +1,9 @@
 use super::*;
+use crate::decode;
+use beamhinge_vocab::http::Method;
+use serde_json::Value;
+use std::io::Write;
+use std::path::Path;
 
 #[test]
 fn what_was_kept_comes_back_with_its_revisions_and_without_leases() {
--- a/crates/vocab/src/messages.rs
+++ b/crates/vocab/src/messages.rs
@@ -10,8 +10,12 @@
     State,
     Cloud,
     Worker(SocketAddrV4),
-    /// A controller, as a worker calls it.
-    Node(SocketAddrV4),
+    /// A controller, as a worker or a user calls it: each caller has a connection of
+    /// its own.
+    Node {
+        address: SocketAddrV4,
+        caller: u64,
+    },
 }
 
 /// What a service wants done.
