--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 mod list;
 mod place;
 mod restart;
+mod scale;
 
 use beamhinge_standins::Doubles;
 use clap::{Parser, Subcommand, ValueEnum};
@@ -59,6 +60,11 @@
         #[arg(long)]
         open: bool,
     },
+    /// The operators' size on this machine: real controllers, hollow workers by the thousand
+    Scale(scale::Options),
+    /// One of the processes of a scale run
+    #[command(hide = true)]
+    Role,
     #[command(hide = true)]
     Controller(beamhinge_daemon::Options),
 }
@@ -91,6 +97,9 @@
     if let Experiment::Controller(options) = &arguments.experiment {
         return beamhinge_daemon::run(options);
     }
+    if let Experiment::Role = &arguments.experiment {
+        return scale::role::run();
+    }
     let lab =
         place::Lab { seed: arguments.seed, controller: place::controller(&arguments.controller) };
     let quick = arguments.quick;
@@ -110,7 +119,8 @@
         Experiment::Ageing(options) => ageing::run(arguments.seed, quick, &options),
         Experiment::Doors => doors::run(&lab),
         Experiment::List { open } => list::run(&lab, quick, open),
-        Experiment::Controller(_) => return ExitCode::FAILURE,
+        Experiment::Scale(options) => scale::run(&lab, quick, &options),
+        Experiment::Role | Experiment::Controller(_) => return ExitCode::FAILURE,
     };
     let figures = result.unwrap_or_else(|e| {
         eprintln!("beamhinge-lab: {e}");
--- a/crates/lab/src/place.rs
+++ b/crates/lab/src/place.rs
@@ -49,7 +49,7 @@
 const HUNDREDS: u32 = 200;
 
 /// A hundred free ports.
-fn free_ports() -> u16 {
+pub fn free_ports() -> u16 {
     let start = std::process::id() % HUNDREDS;
     let bases = (0..HUNDREDS).map(|i| FIRST_PORT + ((start + i * 7) % HUNDREDS) as u16 * 100);
     let free =
--- /dev/null
+++ b/crates/lab/src/scale/checker.rs
@@ -0,0 +1,261 @@
+//! The rules of the protocol, judged by what workers did and users were told, never by
+//! what controllers believe.
+
+use super::messages::{Record, TaskEvent, UserEvent, WallUs};
+use super::workload::{ScaleJob, Workload};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Records of several processes are put in order of their times; so long one may be on
+/// its way, microseconds.
+const REORDER_US: WallUs = 2_000_000;
+/// Differences that come from adding decimal numbers.
+const ROUNDING: f64 = 1e-6;
+const LONGEST_WAIT_MS: u64 = 3_600_000;
+
+/// A rule that was broken: how often, and by what first.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Broken {
+    pub times: u64,
+    pub first: String,
+}
+
+struct JobSeen {
+    job: ScaleJob,
+    accepted: Option<WallUs>,
+    cancelled: Option<WallUs>,
+    started: Option<WallUs>,
+    ended: BTreeSet<String>,
+}
+
+/// Where an attempt runs.
+type Attempt = (u64, u64);
+
+pub struct Checker {
+    workload: Workload,
+    /// CPUs that each team may use.
+    team_limit: f64,
+    cancel_us: WallUs,
+    waiting: BTreeMap<(WallUs, u64), Record>,
+    next: u64,
+    jobs: BTreeMap<u64, JobSeen>,
+    live: BTreeMap<String, BTreeSet<Attempt>>,
+    use_of_teams: BTreeMap<String, f64>,
+    /// Cancelled jobs with tasks on machines.
+    leaving: BTreeMap<u64, WallUs>,
+    pub broken: BTreeMap<String, Broken>,
+    /// Starts by the second of the day.
+    pub starts: BTreeMap<u64, u64>,
+    /// Waits of urgent jobs by the second of their acceptance, milliseconds.
+    pub urgent_waits: Vec<(WallUs, f64)>,
+    /// Tasks that began after their user was told that their job is cancelled.
+    pub late_starts: u64,
+    pub counts: JobCounts,
+}
+
+/// How many jobs came how far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct JobCounts {
+    pub accepted: u64,
+    pub done: u64,
+    pub cancelled: u64,
+    pub tasks_started: u64,
+}
+
+impl Checker {
+    pub fn new(workload: Workload, team_limit: f64, cancel_s: f64) -> Checker {
+        Checker {
+            workload,
+            team_limit,
+            cancel_us: (cancel_s * 1e6) as WallUs,
+            waiting: BTreeMap::new(),
+            next: 0,
+            jobs: BTreeMap::new(),
+            live: BTreeMap::new(),
+            use_of_teams: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            broken: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            urgent_waits: Vec::new(),
+            late_starts: 0,
+            counts: JobCounts::default(),
+        }
+    }
+
+    pub fn workload(&self) -> &Workload {
+        &self.workload
+    }
+
+    /// Takes a record of a worker or a user; others are not its business.
+    pub fn take(&mut self, record: Record) {
+        if let Record::Task { at, .. } | Record::User { at, .. } = &record {
+            self.next += 1;
+            self.waiting.insert((*at, self.next), record);
+        }
+    }
+
+    /// Judges all that is old enough to be in order.
+    pub fn judge_until(&mut self, now: WallUs) {
+        while let Some(entry) = self.waiting.first_entry() {
+            if entry.key().0 + REORDER_US > now {
+                break;
+            }
+            match entry.remove() {
+                Record::Task { at, machine, piece, attempt, event } => {
+                    self.task(at, (machine, attempt), piece, event);
+                }
+                Record::User { at, job, event } => self.user(at, job, event),
+                _ => {}
+            }
+        }
+        self.judge_leaving(now.saturating_sub(REORDER_US));
+    }
+
+    fn break_rule(&mut self, rule: &str, what: String) {
+        let broken = self.broken.entry(rule.to_string()).or_default();
+        if broken.times == 0 {
+            broken.first = what;
+        }
+        broken.times += 1;
+    }
+
+    fn seen(&mut self, number: u64) -> &mut JobSeen {
+        let workload = &self.workload;
+        self.jobs.entry(number).or_insert_with(|| JobSeen {
+            job: workload.job(number),
+            accepted: None,
+            cancelled: None,
+            started: None,
+            ended: BTreeSet::new(),
+        })
+    }
+
+    fn task(&mut self, at: WallUs, attempt: Attempt, piece: String, event: TaskEvent) {
+        let id = piece.split('/').next().unwrap_or("");
+        let Some(number) = id.strip_prefix("job-").and_then(|n| n.parse::<u64>().ok()) else {
+            return self.break_rule("invented", piece);
+        };
+        match event {
+            TaskEvent::Began => self.began(at, number, attempt, piece),
+            TaskEvent::Ended | TaskEvent::Stopped => {
+                self.left(at, number, attempt, &piece);
+                if event == TaskEvent::Ended {
+                    self.seen(number).ended.insert(piece);
+                }
+            }
+        }
+    }
+
+    fn began(&mut self, at: WallUs, number: u64, attempt: Attempt, piece: String) {
+        *self.starts.entry(at / 1_000_000).or_default() += 1;
+        self.counts.tasks_started += 1;
+        let live = self.live.entry(piece.clone()).or_default();
+        let elsewhere: Vec<Attempt> = live.iter().copied().collect();
+        live.insert(attempt);
+        if !elsewhere.is_empty() {
+            self.break_rule("ran_twice", format!("{piece} on {attempt:?} and {elsewhere:?}"));
+        }
+        let seen = self.seen(number);
+        let (team, cpus, urgent) = (seen.job.team.clone(), seen.job.cpus, seen.job.urgent);
+        let (accepted, cancelled) = (seen.accepted, seen.cancelled);
+        let first = seen.started.is_none();
+        seen.started.get_or_insert(at);
+        if first && urgent {
+            // One that starts before its user has the answer did not wait.
+            let accepted = accepted.unwrap_or(at);
+            self.urgent_waits.push((accepted, at.saturating_sub(accepted) as f64 / 1e3));
+        }
+        let used = self.use_of_teams.entry(team.clone()).or_default();
+        *used += cpus;
+        let used = *used;
+        if used > self.team_limit + ROUNDING {
+            let limit = self.team_limit;
+            self.break_rule("quota", format!("{team} uses {used:.2} of {limit:.2} by {piece}"));
+        }
+        if let Some(cancelled) = cancelled {
+            self.late_starts += 1;
+            self.leaving.insert(number, cancelled);
+            if at > cancelled + self.cancel_us {
+                self.break_rule("ran_cancelled", format!("{piece} began"));
+            }
+        }
+    }
+
+    fn left(&mut self, at: WallUs, number: u64, attempt: Attempt, piece: &str) {
+        let Some(live) = self.live.get_mut(piece) else { return };
+        if !live.remove(&attempt) {
+            return;
+        }
+        if live.is_empty() {
+            self.live.remove(piece);
+        }
+        let seen = self.seen(number);
+        let (team, cpus) = (seen.job.team.clone(), seen.job.cpus);
+        let cancelled = seen.cancelled;
+        if let Some(used) = self.use_of_teams.get_mut(&team) {
+            *used -= cpus;
+        }
+        if cancelled.is_some_and(|told| at > told + self.cancel_us) {
+            self.break_rule("ran_cancelled", format!("{piece} was there until then"));
+        }
+    }
+
+    fn user(&mut self, at: WallUs, number: u64, event: UserEvent) {
+        match event {
+            UserEvent::Accepted => {
+                self.counts.accepted += 1;
+                self.seen(number).accepted.get_or_insert(at);
+            }
+            UserEvent::Cancelled => {
+                self.counts.cancelled += 1;
+                self.seen(number).cancelled.get_or_insert(at);
+                self.leaving.insert(number, at);
+            }
+            UserEvent::Done => {
+                self.counts.done += 1;
+                let seen = self.seen(number);
+                let (ended, tasks) = (seen.ended.len(), seen.job.tasks as usize);
+                if ended < tasks {
+                    let what = format!("job-{number:06} with {ended} of {tasks} tasks");
+                    self.break_rule("not_done", what);
+                }
+            }
+            UserEvent::Broken(rule) => self.break_rule(&rule, format!("job-{number:06}")),
+            UserEvent::CancelSent => {}
+        }
+    }
+
+    /// Cancelled jobs must have left all machines in time.
+    fn judge_leaving(&mut self, now: WallUs) {
+        let late: Vec<u64> = self
+            .leaving
+            .iter()
+            .filter(|(_, at)| now > **at + self.cancel_us)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in late {
+            self.leaving.remove(&number);
+            let prefix = format!("job-{number:06}/");
+            let left = self.live.range(prefix.clone()..).next();
+            if let Some(piece) = left.map(|(p, _)| p.clone()).filter(|p| p.starts_with(&prefix)) {
+                self.break_rule("ran_cancelled", format!("{piece} is still there"));
+            }
+        }
+    }
+
+    /// Waits of urgent jobs accepted since then.
+    pub fn urgent_histogram(
+        &self,
+        since: WallUs,
+    ) -> Result<Histogram<u64>, hdrhistogram::CreationError> {
+        let mut waits = Histogram::new_with_max(LONGEST_WAIT_MS, 3)?;
+        for (_, ms) in self.urgent_waits.iter().filter(|(at, _)| *at >= since) {
+            waits.saturating_record(ms.round() as u64);
+        }
+        Ok(waits)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/scale/children.rs
@@ -0,0 +1,107 @@
+//! The children of a scale run: started with their plan, spoken to by lines, ended by
+//! their ids.
+
+use super::messages::{Command, Record, RolePlan};
+use crate::LabError;
+use std::io::{BufRead, BufReader, Write};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdin, Stdio};
+use std::sync::mpsc::Sender;
+use std::thread::JoinHandle;
+
+/// Tells the children of a run apart, by their place in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RoleId {
+    State,
+    Cloud,
+    Workers(usize),
+    Users,
+}
+
+impl RoleId {
+    pub fn name(self) -> String {
+        match self {
+            RoleId::State => "state service".into(),
+            RoleId::Cloud => "cloud".into(),
+            RoleId::Workers(n) => format!("workers {n}"),
+            RoleId::Users => "users".into(),
+        }
+    }
+}
+
+pub struct RoleChild {
+    pub id: RoleId,
+    child: Child,
+    input: Option<ChildStdin>,
+    reader: Option<JoinHandle<()>>,
+}
+
+impl RoleChild {
+    /// Starts this program once more with a role; its records go to `records`.
+    pub fn start(
+        id: RoleId,
+        plan: &RolePlan,
+        records: Sender<(RoleId, Record)>,
+    ) -> Result<RoleChild, LabError> {
+        let program = std::env::current_exe().unwrap_or_else(|_| PathBuf::from("beamhinge-lab"));
+        let mut child = std::process::Command::new(program)
+            .arg("role")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let reader = child.stdout.take().map(|output| {
+            std::thread::spawn(move || {
+                for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    let Ok(record) = serde_json::from_str::<Record>(&line) else { continue };
+                    if records.send((id, record)).is_err() {
+                        return;
+                    }
+                }
+            })
+        });
+        let input = child.stdin.take();
+        let mut child = RoleChild { id, child, input, reader };
+        child.write_line(&serde_json::to_string(plan).map_err(|e| LabError::Other(e.to_string()))?);
+        Ok(child)
+    }
+
+    fn write_line(&mut self, line: &str) {
+        let Some(input) = &mut self.input else { return };
+        // A child that has ended is found by `has_ended`.
+        if writeln!(input, "{line}").and_then(|()| input.flush()).is_err() {
+            self.input = None;
+        }
+    }
+
+    pub fn tell(&mut self, command: &Command) {
+        if let Ok(line) = serde_json::to_string(command) {
+            self.write_line(&line);
+        }
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for RoleChild {
+    fn drop(&mut self) {
+        // Its input ends, which ends it; what does not heed that is killed.
+        self.input = None;
+        for _ in 0..40 {
+            if self.has_ended() {
+                break;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(25));
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/flows.rs
@@ -0,0 +1,75 @@
+//! Counting what a child sends and receives.
+
+use super::messages::{Flow, Flows};
+use beamhinge_vocab::http::{self, Content, Method};
+use beamhinge_vocab::types::RequestId;
+use std::collections::BTreeMap;
+
+/// Requests under way whose kind is remembered; guards memory.
+const MOST_OPEN: usize = 50_000;
+
+/// Counters of one child, and the kinds of the requests that it has not answered.
+#[derive(Default)]
+pub struct FlowCounter {
+    flows: Flows,
+    open: BTreeMap<(usize, u64), &'static str>,
+}
+
+impl FlowCounter {
+    fn add(&mut self, kind: &str, direction: &str, bytes: usize) {
+        let flow = self.flows.entry(format!("{kind} {direction}")).or_default();
+        *flow = Flow { messages: flow.messages + 1, bytes: flow.bytes + bytes as u64 };
+    }
+
+    /// A request came in.
+    pub fn request(
+        &mut self,
+        id: RequestId,
+        kind: &'static str,
+        (method, path): (Method, &str),
+        body: usize,
+    ) {
+        if self.open.len() >= MOST_OPEN {
+            self.open.pop_first();
+        }
+        self.open.insert((id.slot, id.generation), kind);
+        self.add(kind, "in", request_bytes(method, path, body));
+    }
+
+    /// It is answered.
+    pub fn answer(&mut self, id: RequestId, status: u16, body: usize) {
+        if let Some(kind) = self.open.remove(&(id.slot, id.generation)) {
+            self.add(kind, "out", answer_bytes(status, body));
+        }
+    }
+
+    /// We called.
+    pub fn call(&mut self, kind: &str, (method, path): (Method, &str), body: usize) {
+        self.add(kind, "out", request_bytes(method, path, body));
+    }
+
+    /// And were answered.
+    pub fn reply(&mut self, kind: &str, status: u16, body: usize) {
+        self.add(kind, "in", answer_bytes(status, body));
+    }
+
+    pub fn flows(&self) -> &Flows {
+        &self.flows
+    }
+}
+
+/// Bytes of a request with its head, as this project's own writer makes it.
+fn request_bytes(method: Method, path: &str, body: usize) -> usize {
+    let host = "127.0.0.1:12000";
+    let head =
+        http::RequestHead { method, path, host, content: Content::Cbor, authorization: None };
+    let mut bytes = Vec::new();
+    http::write_request(&mut bytes, &head, &[]);
+    bytes.len() + body
+}
+
+fn answer_bytes(status: u16, body: usize) -> usize {
+    let mut bytes = Vec::new();
+    http::write_response(&mut bytes, status, None, false, Content::Cbor, &[]);
+    bytes.len() + body
+}
--- /dev/null
+++ b/crates/lab/src/scale/layout.rs
@@ -0,0 +1,196 @@
+//! Where everything of a scale run listens, and which zone is whose: loopback addresses
+//! alone, a network of them for the workers of each process.
+
+use super::size::Size;
+use super::workload::team_name;
+use beamhinge_local::deployment::{Deployment, Links, NodePlace, PlatformLimits, TeamPlan};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+
+/// Workers of one process; more are too many for one thread.
+const WORKERS_A_PROCESS: usize = 525;
+/// Addresses more than workers, for machines that replace others.
+const SPARE_PLACES: f64 = 0.1;
+/// Second byte of the first loopback network for workers.
+const WORKER_NETWORK: u8 = 64;
+/// Hosts of one network that are used, so that neither 0 nor 255 is.
+const HOSTS: usize = 250;
+/// Ports from the base on, by what listens there.
+const STATE_PORTS: u16 = 30;
+const CLOUD_PORTS: u16 = 60;
+const WORKER_PORT: u16 = 99;
+
+/// The part of the fleet that a team is guaranteed, and the limit of each, as parts of
+/// the fleet over all teams.
+const GUARANTEED: f64 = 0.5;
+const LIMIT: f64 = 20.0;
+
+pub struct Layout {
+    pub size: Size,
+    base_port: u16,
+    /// Workers whose tasks are processes, on a process of their own.
+    pub real_workers: usize,
+}
+
+fn loopback(second: u8, third: u8, fourth: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, second, third, fourth), port)
+}
+
+impl Layout {
+    pub fn new(size: Size, base_port: u16, real_workers: usize) -> Layout {
+        let real_workers = real_workers.min(size.workers.saturating_sub(1));
+        Layout { size, base_port, real_workers }
+    }
+
+    /// Processes that hold workers: one for the real ones, if there are any, and the
+    /// others by the thousand in a few.
+    pub fn worker_processes(&self) -> usize {
+        usize::from(self.real_workers > 0) + self.hollow_processes()
+    }
+
+    fn hollow_processes(&self) -> usize {
+        (self.size.workers - self.real_workers).div_ceil(WORKERS_A_PROCESS)
+    }
+
+    pub fn is_real(&self, process: usize) -> bool {
+        self.real_workers > 0 && process == 0
+    }
+
+    /// How many workers a process has at the start.
+    fn workers_of(&self, process: usize) -> usize {
+        if self.is_real(process) {
+            return self.real_workers;
+        }
+        (self.size.workers - self.real_workers).div_ceil(self.hollow_processes())
+    }
+
+    /// The process of a machine by its number.
+    pub fn process_of(&self, machine: u64) -> usize {
+        let machine = machine as usize;
+        if machine < self.real_workers {
+            return 0;
+        }
+        usize::from(self.real_workers > 0) + (machine - self.real_workers) % self.hollow_processes()
+    }
+
+    /// The addresses of a process's workers.
+    pub fn worker_addresses(&self, process: usize) -> Vec<SocketAddrV4> {
+        let spare = (self.workers_of(process) as f64 * SPARE_PLACES).ceil() as usize + 2;
+        let port = self.base_port + WORKER_PORT;
+        (0..self.workers_of(process) + spare)
+            .map(|place| {
+                let (third, fourth) = ((place / HOSTS) as u8, (place % HOSTS) as u8 + 1);
+                loopback(WORKER_NETWORK + process as u8, third, fourth, port)
+            })
+            .collect()
+    }
+
+    pub fn state_addresses(&self) -> Vec<SocketAddrV4> {
+        self.control_addresses(STATE_PORTS)
+    }
+
+    pub fn cloud_addresses(&self) -> Vec<SocketAddrV4> {
+        self.control_addresses(CLOUD_PORTS)
+    }
+
+    fn control_addresses(&self, first: u16) -> Vec<SocketAddrV4> {
+        let port = |node: usize| self.base_port + first + node as u16;
+        (0..self.size.controllers).map(|node| loopback(0, 0, 1, port(node))).collect()
+    }
+
+    /// Where frames from one controller to another pass.
+    pub fn relay_address(&self, from: usize, to: usize) -> SocketAddrV4 {
+        loopback(1, 0, from as u8 + 1, self.base_port + to as u16)
+    }
+
+    pub fn zones(&self) -> Vec<String> {
+        (0..self.size.zones).map(|zone| self.size.zone_name(zone)).collect()
+    }
+
+    /// The zone of a controller: they are spread over the regions first.
+    pub fn zone_of_controller(&self, node: usize) -> usize {
+        let region = node % self.size.regions;
+        let zones: Vec<usize> =
+            (0..self.size.zones).filter(|z| self.size.region_of(*z) == region).collect();
+        zones[(node / self.size.regions) % zones.len()]
+    }
+
+    pub fn controllers_in_region(&self, region: usize) -> Vec<usize> {
+        let of = |node: &usize| self.size.region_of(self.zone_of_controller(*node)) == region;
+        (0..self.size.controllers).filter(of).collect()
+    }
+
+    pub fn zones_in_region(&self, region: usize) -> Vec<String> {
+        let of = |zone: &usize| self.size.region_of(*zone) == region;
+        (0..self.size.zones).filter(of).map(|zone| self.size.zone_name(zone)).collect()
+    }
+
+    /// Zones of the machines that are there from the start.
+    pub fn owned(&self) -> Vec<String> {
+        (0..self.size.workers)
+            .map(|machine| self.size.zone_name(machine % self.size.zones))
+            .collect()
+    }
+
+    pub fn deployment(&self) -> Deployment {
+        let size = &self.size;
+        let place = |node: usize| NodePlace {
+            label: char::from(b'a' + node as u8).to_string(),
+            zone: size.zone_name(self.zone_of_controller(node)),
+            operators: loopback(0, 0, 2, self.base_port + node as u16),
+            users: loopback(0, 0, 3, self.base_port + node as u16),
+            peers: loopback(0, 0, 4, self.base_port + node as u16),
+        };
+        let share = size.workers as f64 * size.machine.cpus / size.teams as f64;
+        let team =
+            |n| TeamPlan { name: team_name(n), cpus: share * GUARANTEED, cpus_max: share * LIMIT };
+        let table = &size.platform;
+        Deployment {
+            nodes: (0..size.controllers).map(place).collect(),
+            zones: self.zones(),
+            teams: (0..size.teams).map(team).collect(),
+            limits: PlatformLimits {
+                report_s: size.report_s,
+                lease_s: table.lease_s,
+                cancel_s: table.cancel_s,
+                state_rps: table.state_rps,
+                state_write_rps: table.state_write_rps,
+                value_kb: table.value_kb,
+                txn_ops: table.txn_ops,
+                cloud_rps: table.cloud_rps,
+                list_lag_s: table.list_lag_s,
+                ram_mb: table.ram_mb,
+                connections: self.connections() as u32,
+            },
+        }
+    }
+
+    /// Sockets that a controller may have: one for each worker, and room for users,
+    /// peers and what is about to close.
+    pub fn connections(&self) -> usize {
+        self.size.workers * 3 / 2 + 1_000
+    }
+
+    pub fn links(&self, node: usize) -> Links {
+        Links {
+            state: self.state_addresses()[node],
+            cloud: self.cloud_addresses()[node],
+            peers: (0..self.size.controllers).map(|to| self.relay_address(node, to)).collect(),
+        }
+    }
+
+    /// An address that somebody else listens on already.
+    pub fn taken(&self) -> Option<SocketAddrV4> {
+        let deployment = self.deployment();
+        let nodes = deployment.nodes.iter().flat_map(|n| [n.operators, n.users, n.peers]);
+        let first_workers =
+            (0..self.worker_processes()).filter_map(|p| self.worker_addresses(p).first().copied());
+        nodes
+            .chain(self.state_addresses())
+            .chain(self.cloud_addresses())
+            .chain(first_workers)
+            .find(|address| TcpListener::bind(address).is_err())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/scale/layout/tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+use crate::scale::size::OPERATORS_TABLE;
+use std::collections::BTreeSet;
+
+fn layout() -> Layout {
+    Layout::new(Size::parse("t", OPERATORS_TABLE).expect("sound"), 20_000, 4)
+}
+
+#[test]
+fn every_worker_has_an_address_of_its_own_on_loopback() {
+    let layout = layout();
+    let mut seen = BTreeSet::new();
+    for process in 0..layout.worker_processes() {
+        let machines = (0..2_100).filter(|m| layout.process_of(*m) == process).count();
+        let addresses = layout.worker_addresses(process);
+        assert!(addresses.len() > machines, "{process}: {machines} of {}", addresses.len());
+        assert!(addresses.iter().all(|a| a.ip().is_loopback()));
+        seen.extend(addresses);
+    }
+    assert!(seen.len() > 2_100);
+    assert!((0..4).all(|m| layout.process_of(m) == 0), "real ones are by themselves");
+}
+
+#[test]
+fn controllers_and_zones_are_spread_over_the_regions() {
+    let layout = layout();
+    let regions: Vec<usize> = (0..3).map(|r| layout.controllers_in_region(r).len()).collect();
+    assert_eq!(regions, [3, 2, 2]);
+    assert_eq!(layout.zones_in_region(1), ["r2-z3", "r2-z4"]);
+    assert_eq!(layout.controllers_in_region(0), [0, 3, 6]);
+}
+
+#[test]
+fn the_settings_of_each_controller_are_sound() {
+    let layout = layout();
+    let deployment = layout.deployment();
+    for node in 0..7 {
+        let text = deployment.settings(node, &layout.links(node));
+        let settings = beamhinge_vocab::settings::Settings::parse("t", &text).expect("sound");
+        assert_eq!((settings.members.len(), settings.params.teams.len()), (6, 240));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,259 @@
+//! A scale run: real controllers, hollow workers by the thousand beside a few real ones,
+//! stand-ins and users in processes of their own, on loopback and in real time.
+
+mod checker;
+mod children;
+mod faults;
+mod figures;
+mod fit;
+mod flows;
+mod layout;
+mod measure;
+mod messages;
+mod plots;
+mod relay;
+pub mod role;
+mod run;
+mod size;
+mod sweep;
+mod usage;
+mod workload;
+
+use crate::place::{self, Lab};
+use crate::LabError;
+use clap::Args;
+use faults::Fault;
+use figures::{BudgetLine, Figures};
+use run::{Played, RunPlan};
+use serde_json::{json, Value};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use size::{Size, OPERATORS_TABLE};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use sweep::{Axis, Series};
+
+/// Longest load, minutes.
+const MOST_MINUTES: f64 = 60.0;
+const REAL_WORKERS: usize = 4;
+
+#[derive(Args)]
+pub struct Options {
+    /// The size as a file (TOML) instead of the operators' table
+    #[arg(long, value_name = "FILE")]
+    table: Option<PathBuf>,
+    /// Workers; as with all of these, else as the table says
+    #[arg(long)]
+    workers: Option<usize>,
+    #[arg(long)]
+    controllers: Option<usize>,
+    #[arg(long)]
+    teams: Option<usize>,
+    #[arg(long)]
+    regions: Option<usize>,
+    #[arg(long)]
+    zones: Option<usize>,
+    /// Task starts a second
+    #[arg(long)]
+    starts_per_s: Option<f64>,
+    /// Tasks running at the same time
+    #[arg(long)]
+    running: Option<usize>,
+    /// Changes of configuration a day; 0 leaves that line out
+    #[arg(long)]
+    config_changes: Option<u32>,
+    /// Seconds between a worker's reports
+    #[arg(long)]
+    report_s: Option<f64>,
+    /// How long jobs arrive
+    #[arg(long, default_value_t = 3.0)]
+    minutes: f64,
+    /// Workers that run processes, among the others
+    #[arg(long, default_value_t = REAL_WORKERS)]
+    real: usize,
+    /// A fault and when it comes; may be repeated
+    #[arg(long = "fault", value_name = "KIND@SECONDS")]
+    faults: Vec<Fault>,
+    /// Draw faults at the operators' rates, so many times as often
+    #[arg(long, value_name = "TIMES", default_value_t = 0.0)]
+    speed_up: f64,
+    /// Vary one of these over several sizes and fit slopes
+    #[arg(long, value_enum)]
+    sweep: Option<Axis>,
+    /// Write JSON and plots (SVG) there
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+}
+
+/// A size for a first look, and for CI: seconds, and a hundred workers.
+fn quick(size: &mut Size) {
+    size.workers = 100;
+    size.controllers = 3;
+    size.teams = 12;
+    size.zones = 3;
+    size.starts_per_s = 100.0;
+    size.running = 800;
+    size.config_changes = 0;
+    size.report_s = 0.5;
+    size.platform.lease_s = 8.0;
+    size.platform.cancel_s = 20.0;
+}
+const QUICK_MINUTES: f64 = 0.35;
+
+impl Options {
+    fn size(&self, is_quick: bool) -> Result<Size, LabError> {
+        let wrong = |e: size::SizeError| LabError::Other(e.to_string());
+        let mut size = match &self.table {
+            Some(path) => Size::load(path).map_err(wrong)?,
+            None => Size::parse("the operators' table", OPERATORS_TABLE).map_err(wrong)?,
+        };
+        if is_quick {
+            quick(&mut size);
+        }
+        let set = |field: &mut usize, value: Option<usize>| *field = value.unwrap_or(*field);
+        set(&mut size.workers, self.workers);
+        set(&mut size.controllers, self.controllers);
+        set(&mut size.teams, self.teams);
+        set(&mut size.regions, self.regions);
+        set(&mut size.zones, self.zones);
+        set(&mut size.running, self.running);
+        size.starts_per_s = self.starts_per_s.unwrap_or(size.starts_per_s);
+        size.report_s = self.report_s.unwrap_or(size.report_s);
+        size.config_changes = self.config_changes.unwrap_or(size.config_changes);
+        size.check().map_err(wrong)?;
+        Ok(size)
+    }
+
+    fn seconds(&self, is_quick: bool) -> Result<f64, LabError> {
+        let minutes = if is_quick { QUICK_MINUTES } else { self.minutes };
+        if !(minutes > 0.0 && minutes <= MOST_MINUTES) {
+            let wrong =
+                format!("--minutes {minutes}: it must be above 0 and {MOST_MINUTES} at most");
+            return Err(LabError::Other(wrong));
+        }
+        Ok(minutes * 60.0)
+    }
+
+    fn plan(&self, lab: &Lab, size: Size, seconds: f64) -> RunPlan {
+        let mut faults = self.faults.clone();
+        faults.extend(faults::drawn(&size, seconds, self.speed_up.max(0.0), lab.seed));
+        let real_workers = self.real;
+        RunPlan { size, seconds, real_workers, faults, base_port: place::free_ports() }
+    }
+}
+
+pub fn run(lab: &Lab, is_quick: bool, options: &Options) -> Result<Value, LabError> {
+    let size = options.size(is_quick)?;
+    let seconds = options.seconds(is_quick)?;
+    if let Some(folder) = &options.out {
+        std::fs::create_dir_all(folder)?;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    match options.sweep {
+        Some(axis) => run_sweep(lab, options, axis, &size, seconds, &stop),
+        None => {
+            let played = run::play(lab, options.plan(lab, size.clone(), seconds), &stop)?;
+            let lines = figures::budget(&size, &played.figures);
+            print_budget(&lines);
+            if let Some(folder) = &options.out {
+                write_run(folder, &played, &lines)?;
+            }
+            Ok(summary(lab.seed, &size, &played.figures, &lines))
+        }
+    }
+}
+
+fn print_budget(lines: &[BudgetLine]) {
+    let width = lines.iter().map(|l| l.name.len()).max().unwrap_or(0);
+    for l in lines {
+        let verdict = if l.holds { "holds" } else { "DOES NOT HOLD" };
+        eprintln!("{:width$}  {verdict:13}  {} | {}", l.name, l.budget, l.measured);
+    }
+}
+
+fn summary(seed: u64, size: &Size, figures: &Figures, lines: &[BudgetLine]) -> Value {
+    let failing: Vec<&str> = lines.iter().filter(|l| !l.holds).map(|l| l.name.as_str()).collect();
+    json!({
+        "ok": failing.is_empty(), "experiment": "scale", "seed": seed,
+        "does_not_hold": failing, "size": size, "figures": figures,
+    })
+}
+
+fn write_run(folder: &Path, played: &Played, lines: &[BudgetLine]) -> Result<(), LabError> {
+    let text = json!({"budget": lines, "figures": played.figures});
+    std::fs::write(folder.join("scale.json"), format!("{text:#}\n"))?;
+    let plots = [
+        ("starts.svg", "Starts a second", "starts", &played.starts, false),
+        (
+            "urgent.svg",
+            "Urgent jobs: from acceptance to the first start",
+            "seconds",
+            &played.urgent,
+            true,
+        ),
+    ];
+    for (file, title, unit, points, dots) in plots {
+        let plot = plots::TimePlot { title, unit, points, dots, marks: &played.marks };
+        plots::over_time(&folder.join(file), &plot)?;
+    }
+    Ok(())
+}
+
+fn run_sweep(
+    lab: &Lab,
+    options: &Options,
+    axis: Axis,
+    full: &Size,
+    seconds: f64,
+    stop: &Arc<AtomicBool>,
+) -> Result<Value, LabError> {
+    let mut points = Vec::new();
+    let mut broken = false;
+    for (x, size) in axis.sizes(full) {
+        eprintln!("{}: {x}", axis.name());
+        let played = run::play(lab, options.plan(lab, size, seconds), stop)?;
+        broken |= !played.figures.broken.is_empty();
+        points.push((x, played.figures));
+    }
+    let series = sweep::series(&points);
+    for s in &series {
+        if let Some(fit) = s.fit {
+            eprintln!(
+                "{:28} {:+.3e} {} for each of {}, from {:.3e}; residual {:.1e}",
+                s.name,
+                fit.slope,
+                s.unit,
+                axis.name(),
+                fit.intercept,
+                fit.residual
+            );
+        }
+    }
+    if let Some(folder) = &options.out {
+        write_sweep(folder, axis, &series, &points)?;
+    }
+    Ok(json!({
+        "ok": !broken, "experiment": "scale", "seed": lab.seed, "sweep": axis.name(),
+        "series": series,
+    }))
+}
+
+fn write_sweep(
+    folder: &Path,
+    axis: Axis,
+    series: &[Series],
+    points: &[(f64, Figures)],
+) -> Result<(), LabError> {
+    let figures: Vec<Value> = points.iter().map(|(x, f)| json!({"x": x, "figures": f})).collect();
+    let text = json!({"sweep": axis.name(), "series": series, "points": figures});
+    std::fs::write(folder.join("sweep.json"), format!("{text:#}\n"))?;
+    for s in series {
+        let file = format!("{}.svg", s.name.replace(' ', "-"));
+        let names = (axis.name(), s.unit);
+        plots::slope(&folder.join(file), &s.name, names, &s.points, s.fit)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/scale/plots.rs
@@ -0,0 +1,89 @@
+//! Plots of a scale run (SVG): starts and urgent waits over time with the faults marked,
+//! and slopes with their points.
+
+use super::fit::Fit;
+use crate::LabError;
+use plotters::prelude::*;
+use std::path::Path;
+
+const SIZE: (u32, u32) = (900, 420);
+/// Room above the highest point.
+const HEADROOM: f64 = 1.1;
+
+/// A series over seconds, with the times of faults.
+pub struct TimePlot<'a> {
+    pub title: &'a str,
+    pub unit: &'a str,
+    pub points: &'a [(f64, f64)],
+    /// Drawn as dots instead of a line.
+    pub dots: bool,
+    pub marks: &'a [(f64, String)],
+}
+
+fn failed(e: impl std::fmt::Display) -> LabError {
+    LabError::Other(format!("cannot draw: {e}"))
+}
+
+fn most(values: impl Iterator<Item = f64>) -> f64 {
+    let most = values.filter(|v| v.is_finite()).fold(0.0, f64::max);
+    if most > 0.0 {
+        most * HEADROOM
+    } else {
+        1.0
+    }
+}
+
+pub fn over_time(path: &Path, plot: &TimePlot) -> Result<(), LabError> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(failed)?;
+    let (end, top) = (most(plot.points.iter().map(|p| p.0)), most(plot.points.iter().map(|p| p.1)));
+    let mut chart = ChartBuilder::on(&area)
+        .caption(plot.title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..end, 0.0..top)
+        .map_err(failed)?;
+    chart.configure_mesh().x_desc("seconds").y_desc(plot.unit).draw().map_err(failed)?;
+    if plot.dots {
+        let dots = plot.points.iter().map(|p| Circle::new(*p, 2, BLUE.filled()));
+        chart.draw_series(dots).map_err(failed)?;
+    } else {
+        let line = LineSeries::new(plot.points.iter().copied(), &BLUE);
+        chart.draw_series(line).map_err(failed)?;
+    }
+    for (at, name) in plot.marks {
+        let mark = PathElement::new(vec![(*at, 0.0), (*at, top)], RED);
+        chart.draw_series([mark]).map_err(failed)?;
+        let text = Text::new(name.clone(), (*at, top * 0.97), ("sans-serif", 11).into_font());
+        chart.draw_series([text]).map_err(failed)?;
+    }
+    area.present().map_err(failed)
+}
+
+/// Measured points and the line through them.
+pub fn slope(
+    path: &Path,
+    title: &str,
+    (x_name, y_name): (&str, &str),
+    points: &[(f64, f64)],
+    fit: Option<Fit>,
+) -> Result<(), LabError> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(failed)?;
+    let (right, top) = (most(points.iter().map(|p| p.0)), most(points.iter().map(|p| p.1)));
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(70)
+        .build_cartesian_2d(0.0..right, 0.0..top)
+        .map_err(failed)?;
+    chart.configure_mesh().x_desc(x_name).y_desc(y_name).draw().map_err(failed)?;
+    chart.draw_series(points.iter().map(|p| Circle::new(*p, 4, BLUE.filled()))).map_err(failed)?;
+    if let Some(fit) = fit {
+        let line = [fit.from, fit.to].map(|x| (x, fit.at(x)));
+        chart.draw_series(LineSeries::new(line, &RED)).map_err(failed)?;
+    }
+    area.present().map_err(failed)
+}
--- /dev/null
+++ b/crates/lab/src/scale/relay/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+use std::net::SocketAddr;
+
+fn free() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    match listener.local_addr().expect("bound") {
+        SocketAddr::V4(address) => (listener, address),
+        other => panic!("{other}"),
+    }
+}
+
+/// What is sent into a cut comes after it, in order, and nothing is lost.
+#[test]
+fn a_cut_link_holds_what_is_sent_and_delivers_it_late() {
+    let (target, to) = free();
+    let (listener, at) = free();
+    drop(listener);
+    let relays = Relays::start(vec![(Direction { from: 0, to: 1 }, at, to)]).expect("listens");
+    let mut sender = TcpStream::connect(at).expect("accepted");
+    let (mut receiver, _) = target.accept().expect("passed on");
+    receiver.set_read_timeout(Some(Duration::from_millis(600))).expect("set");
+    let mut got = [0u8; 16];
+    sender.write_all(b"one").expect("sent");
+    assert_eq!(receiver.read(&mut got).expect("it comes"), 3);
+    relays.set_cut(0, 1, true);
+    sender.write_all(b"two").expect("sent");
+    assert!(receiver.read(&mut got).is_err(), "nothing passes a cut");
+    relays.set_cut(0, 1, false);
+    assert_eq!(receiver.read(&mut got).expect("it comes late"), 3);
+    assert_eq!(&got[..3], b"two");
+}
--- /dev/null
+++ b/crates/lab/src/scale/role/cloud.rs
@@ -0,0 +1,159 @@
+//! The cloud of a scale run, with an address for each controller.
+
+use super::Links;
+use crate::scale::flows::FlowCounter;
+use crate::scale::messages::{Command, MachinePlan, Record};
+use beamhinge_standins::cloud::{Cloud, Kind};
+use beamhinge_standins::{micros, Us, SECOND};
+use beamhinge_vocab::http::{Method, Request};
+use beamhinge_vocab::messages::{Out, Service};
+use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use std::collections::BTreeMap;
+
+/// The one type of machine.
+pub const SHAPE: &str = "m";
+/// A machine that stopped by itself is listed so after this long.
+const FAILED_LISTED: Us = 30 * SECOND;
+
+pub struct CloudRole {
+    cloud: Cloud,
+    rng: StdRng,
+    booting: BTreeMap<u64, Us>,
+    flows: FlowCounter,
+    links: Links,
+    held_until: Vec<Us>,
+}
+
+impl CloudRole {
+    pub fn new(
+        (rps, list_lag_s): (f64, f64),
+        machines: &MachinePlan,
+        zones: Vec<String>,
+        seed: u64,
+        now: Time,
+        links: Links,
+    ) -> CloudRole {
+        let mut cloud = Cloud::new(rps, list_lag_s);
+        cloud.kinds = vec![Kind {
+            label: SHAPE.into(),
+            cpus: machines.cpus,
+            memory_gb: machines.memory_gb,
+            rate: 1.0,
+            low: 0.3,
+            boot_s: machines.boot_s,
+        }];
+        for zone in &zones {
+            let owned = machines.owned.iter().filter(|z| *z == zone).count() as u32;
+            let key = |spot| (SHAPE.to_string(), zone.clone(), spot);
+            cloud.capacity.insert(key(false), owned + machines.spare);
+            cloud.capacity.insert(key(true), machines.spare);
+        }
+        cloud.zones = zones;
+        for zone in &machines.owned {
+            cloud.add(micros(now), SHAPE, zone, false, Some(0));
+        }
+        let rng = StdRng::seed_from_u64(seed);
+        let flows = FlowCounter::default();
+        let booting = BTreeMap::new();
+        CloudRole { cloud, rng, booting, flows, links, held_until: Vec::new() }
+    }
+
+    fn obey(&mut self, now: Us, command: Command) {
+        match command {
+            Command::Endpoint { machine, address } => {
+                self.cloud.endpoints.insert(machine, address.to_string());
+            }
+            Command::Failed { machine } => {
+                if let Some(host) = self.cloud.hosts.get_mut(&machine) {
+                    host.failed_at = Some(now + FAILED_LISTED);
+                }
+            }
+            Command::HoldControllers { controllers, seconds } => {
+                for controller in controllers {
+                    if self.held_until.len() <= controller {
+                        self.held_until.resize(controller + 1, 0);
+                    }
+                    self.held_until[controller] = now + (seconds * 1e6) as Us;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells which machines are up or gone.
+    fn tell_machines(&mut self, now: Us) {
+        self.booting.extend(self.cloud.take_booted());
+        for machine in self.cloud.take_gone() {
+            self.booting.remove(&machine);
+            self.cloud.endpoints.remove(&machine);
+            self.links.records.send(&Record::Gone { machine });
+        }
+        let ready: Vec<u64> =
+            self.booting.iter().filter(|(_, up)| **up <= now).map(|(id, _)| *id).collect();
+        for machine in ready {
+            self.booting.remove(&machine);
+            if let Some((host, _)) = self.cloud.booted(now, machine) {
+                let (zone, spot) = (host.zone, host.spot);
+                self.links.records.send(&Record::Booted { machine, zone, spot });
+            }
+        }
+    }
+}
+
+fn kind(method: Method, path: &str) -> &'static str {
+    match (method, path) {
+        (Method::Get, p) if p.starts_with("/hosts") => "list",
+        (Method::Get, _) => "flavors",
+        (_, "/hosts/release") => "release",
+        _ => "rent",
+    }
+}
+
+impl Service for CloudRole {
+    fn on_request(
+        &mut self,
+        now: Time,
+        _wall: WallMs,
+        door: usize,
+        id: RequestId,
+        request: Request,
+        out: &mut Vec<Out>,
+    ) {
+        let (method, path) = (request.method, request.path.as_str());
+        self.flows.request(id, kind(method, path), (method, path), request.body.len());
+        let us = micros(now);
+        // What is held here is never carried out: the caller's time runs out.
+        if self.held_until.get(door).is_some_and(|until| us < *until) {
+            return;
+        }
+        let (status, body) = self.cloud.handle(us, method, path, &request.body, &mut self.rng);
+        self.flows.answer(id, status, body.len());
+        out.push(Out::Answer { to: id, status, retry_after: None, body });
+        self.tell_machines(us);
+    }
+
+    fn on_reply(
+        &mut self,
+        _now: Time,
+        _wall: WallMs,
+        _id: CallId,
+        _result: Option<(u16, Vec<u8>)>,
+        _out: &mut Vec<Out>,
+    ) {
+    }
+
+    fn on_tick(&mut self, now: Time, _wall: WallMs, _out: &mut Vec<Out>) {
+        let us = micros(now);
+        while let Some(command) = self.links.command() {
+            self.obey(us, command);
+        }
+        self.tell_machines(us);
+        for what in self.cloud.abused.drain(..) {
+            self.links.records.send(&Record::Abused { what });
+        }
+        let gauges = [("machines", self.cloud.hosts.len() as f64)];
+        self.links.tell_counts(now, self.flows.flows(), &gauges);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/role/mod.rs
@@ -0,0 +1,181 @@
+//! The children of a scale run: each is this program once more, with one role.
+//!
+//! A child reads its plan from the first line of its standard input and commands from
+//! the following ones; it ends when that input ends, so that it never outlives who
+//! started it.
+
+mod cloud;
+mod state;
+mod users;
+mod workers;
+
+use super::messages::{Command, Flows, Record, RolePlan};
+use beamhinge_net::{Door, DoorKind, Net, NetError, Wiring};
+use beamhinge_vocab::messages::Service;
+use beamhinge_vocab::settings::External;
+use beamhinge_vocab::types::Time;
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufWriter, Stdout, Write};
+use std::net::SocketAddrV4;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Sockets that a child may have open.
+pub const MOST_CONNECTIONS: usize = 18_000;
+/// How often a child tells its counts, seconds.
+const COUNTS_S: f64 = 1.0;
+
+#[derive(Debug, thiserror::Error)]
+pub enum RoleError {
+    #[error("no plan on standard input: this is for `beamhinge-lab scale` alone")]
+    NoPlan,
+    #[error("the plan is not understood: {0}")]
+    Plan(#[from] serde_json::Error),
+    #[error(transparent)]
+    Net(#[from] NetError),
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+/// Standard output as a channel of records.
+#[derive(Clone)]
+pub struct Recorder(Arc<Mutex<BufWriter<Stdout>>>);
+
+impl Recorder {
+    fn new() -> Recorder {
+        Recorder(Arc::new(Mutex::new(BufWriter::new(io::stdout()))))
+    }
+
+    /// What cannot be written has no reader any more: the child's input ends then too.
+    pub fn send(&self, record: &Record) {
+        let mut out = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = serde_json::to_writer(&mut *out, record);
+        let _ = out.write_all(b"\n");
+    }
+
+    pub fn flush(&self) {
+        let _ = self.0.lock().unwrap_or_else(PoisonError::into_inner).flush();
+    }
+}
+
+/// What every role has: commands, records, and the time of the last counts.
+pub struct Links {
+    commands: Receiver<Command>,
+    pub records: Recorder,
+    counted: Time,
+}
+
+impl Links {
+    /// The next command, if one came.
+    pub fn command(&self) -> Option<Command> {
+        self.commands.try_recv().ok()
+    }
+
+    /// Tells the counts if they are due, and sends what was recorded.
+    pub fn tell_counts(&mut self, now: Time, flows: &Flows, gauges: &[(&str, f64)]) {
+        if now.since(self.counted) >= COUNTS_S {
+            self.counted = now;
+            let gauges: BTreeMap<String, f64> =
+                gauges.iter().map(|(name, value)| (name.to_string(), *value)).collect();
+            self.records.send(&Record::Counts { flows: flows.clone(), gauges });
+        }
+        self.records.flush();
+    }
+}
+
+/// Runs one role until its input ends.
+pub fn run() -> ExitCode {
+    match serve() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("beamhinge-lab role: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve() -> Result<(), RoleError> {
+    let mut first = String::new();
+    if io::stdin().read_line(&mut first)? == 0 {
+        return Err(RoleError::NoPlan);
+    }
+    let plan: RolePlan = serde_json::from_str(&first)?;
+    let go = Arc::new(AtomicBool::new(true));
+    let (sender, commands) = channel();
+    let ended = go.clone();
+    std::thread::spawn(move || {
+        for line in io::stdin().lock().lines() {
+            let Ok(command) = line
+                .map_err(|_| ())
+                .and_then(|l| serde_json::from_str::<Command>(&l).map_err(|_| ()))
+            else {
+                break;
+            };
+            if sender.send(command).is_err() {
+                break;
+            }
+        }
+        ended.store(false, Ordering::Relaxed);
+    });
+    let links = Links { commands, records: Recorder::new(), counted: Time::default() };
+    match plan {
+        RolePlan::State { addresses, limits } => {
+            let wiring = wiring(&addresses);
+            run_service(wiring, &go, links, |links, _| state::StateRole::new(&limits, links))
+        }
+        RolePlan::Cloud { addresses, rps, list_lag_s, machines, zones, seed } => {
+            run_service(wiring(&addresses), &go, links, |links, now| {
+                cloud::CloudRole::new((rps, list_lag_s), &machines, zones, seed, now, links)
+            })
+        }
+        RolePlan::Workers {
+            controllers,
+            addresses,
+            report_s,
+            lease_s,
+            cancel_s,
+            workload,
+            real,
+        } => {
+            let settings = beamhinge_vocab::settings::Workers { report_s, lease_s, cancel_s };
+            let wiring = wiring(&addresses);
+            run_service(wiring, &go, links, |links, _| {
+                workers::WorkersRole::new(controllers, addresses, settings, workload, real, links)
+            })
+        }
+        RolePlan::Users { controllers, workload, seconds, seed } => {
+            run_service(wiring(&[]), &go, links, |links, now| {
+                users::UsersRole::new(controllers, workload, seconds, seed, now, links)
+            })
+        }
+    }
+}
+
+fn run_service<S: Service>(
+    wiring: Wiring,
+    go: &AtomicBool,
+    links: Links,
+    make: impl FnOnce(Links, Time) -> S,
+) -> Result<(), RoleError> {
+    let records = links.records.clone();
+    let net = Net::new(wiring, |now| make(links, now))?;
+    records.send(&Record::Ready);
+    records.flush();
+    net.run_while(|| go.load(Ordering::Relaxed))?;
+    Ok(())
+}
+
+/// A process that listens there and calls only controllers.
+fn wiring(addresses: &[SocketAddrV4]) -> Wiring {
+    let nowhere = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
+    let door = |addr: &SocketAddrV4| Door { addr: *addr, kind: DoorKind::Platform };
+    Wiring {
+        doors: addresses.iter().map(door).collect(),
+        peers: None,
+        members: Vec::new(),
+        external: External { cloud: nowhere, state: nowhere },
+        max_connections: MOST_CONNECTIONS,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/role/state.rs
@@ -0,0 +1,175 @@
+//! The state service of a scale run, with an address for each controller.
+
+use super::Links;
+use crate::scale::flows::FlowCounter;
+use crate::scale::messages::{wall_us, Command, Record, StateLimits};
+use beamhinge_standins::state_server::StateServer;
+use beamhinge_standins::{micros, Us};
+use beamhinge_vocab::http::{Method, Request};
+use beamhinge_vocab::messages::{Out, Service};
+use beamhinge_vocab::settings;
+use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use std::collections::VecDeque;
+
+/// The key that says who leads.
+const LEAD_KEY: &str = "lead/now";
+/// Requests of controllers that are cut off, held until the cut ends.
+const MOST_HELD: usize = 10_000;
+
+pub struct StateRole {
+    server: StateServer,
+    flows: FlowCounter,
+    links: Links,
+    lead: Option<String>,
+    /// Controllers that are cut off, and until when.
+    held_until: Vec<Us>,
+    held: VecDeque<(usize, RequestId, Request)>,
+    /// Answers take so much longer, until when.
+    delay: (Us, Us),
+    delayed: VecDeque<(Us, Out)>,
+}
+
+impl StateRole {
+    pub fn new(limits: &StateLimits, links: Links) -> StateRole {
+        let StateLimits { rps, write_rps, value_kb, txn_ops } = *limits;
+        StateRole {
+            server: StateServer::new(&settings::State { rps, write_rps, value_kb, txn_ops }),
+            flows: FlowCounter::default(),
+            links,
+            lead: None,
+            held_until: Vec::new(),
+            held: VecDeque::new(),
+            delay: (0, 0),
+            delayed: VecDeque::new(),
+        }
+    }
+
+    fn is_held(&self, controller: usize, now: Us) -> bool {
+        self.held_until.get(controller).is_some_and(|until| now < *until)
+    }
+
+    fn obey(&mut self, now: Us, command: Command) {
+        let until = |seconds: f64| now + (seconds * 1e6) as Us;
+        match command {
+            Command::HoldControllers { controllers, seconds } => {
+                for controller in controllers {
+                    if self.held_until.len() <= controller {
+                        self.held_until.resize(controller + 1, 0);
+                    }
+                    self.held_until[controller] = until(seconds);
+                }
+            }
+            Command::Slow { delay_s, seconds } => {
+                self.delay = ((delay_s * 1e6) as Us, until(seconds));
+            }
+            Command::Refuse { seconds } => self.server.state.outage(until(seconds)),
+            _ => {}
+        }
+    }
+
+    /// Requests of controllers whose cut has ended are carried out now: late.
+    fn release_held(&mut self, now: Time, out: &mut Vec<Out>) {
+        let us = micros(now);
+        for _ in 0..self.held.len() {
+            let Some((controller, id, request)) = self.held.pop_front() else { break };
+            if self.is_held(controller, us) {
+                self.held.push_back((controller, id, request));
+            } else {
+                self.server.answer(now, id, &request, out);
+            }
+        }
+    }
+
+    /// Counts answers, and holds back those that are to be late.
+    fn pass(&mut self, now: Us, before: usize, out: &mut Vec<Out>) {
+        let (delay, until) = self.delay;
+        for answer in out.split_off(before) {
+            if let Out::Answer { to, status, body, .. } = &answer {
+                self.flows.answer(*to, *status, body.len());
+            }
+            if now < until {
+                self.delayed.push_back((now + delay, answer));
+            } else {
+                out.push(answer);
+            }
+        }
+    }
+
+    fn note_lead(&mut self) {
+        let label = self.server.state.get(LEAD_KEY).and_then(|v| v["label"].as_str());
+        if label != self.lead.as_deref() {
+            self.lead = label.map(String::from);
+            self.links.records.send(&Record::Lead { at: wall_us(), label: self.lead.clone() });
+        }
+    }
+}
+
+fn kind(method: Method, path: &str) -> &'static str {
+    match (method, path) {
+        (_, "/commit") => "commit",
+        (Method::Get, p) if p.starts_with("/watch") => "watch",
+        (Method::Get, _) => "read",
+        _ => "hold",
+    }
+}
+
+impl Service for StateRole {
+    fn on_request(
+        &mut self,
+        now: Time,
+        _wall: WallMs,
+        door: usize,
+        id: RequestId,
+        request: Request,
+        out: &mut Vec<Out>,
+    ) {
+        let (method, path) = (request.method, request.path.as_str());
+        self.flows.request(id, kind(method, path), (method, path), request.body.len());
+        if self.is_held(door, micros(now)) {
+            if self.held.len() < MOST_HELD {
+                self.held.push_back((door, id, request));
+            }
+            return;
+        }
+        let before = out.len();
+        self.server.answer(now, id, &request, out);
+        self.pass(micros(now), before, out);
+        self.note_lead();
+    }
+
+    fn on_reply(
+        &mut self,
+        _now: Time,
+        _wall: WallMs,
+        _id: CallId,
+        _result: Option<(u16, Vec<u8>)>,
+        _out: &mut Vec<Out>,
+    ) {
+    }
+
+    fn on_tick(&mut self, now: Time, _wall: WallMs, out: &mut Vec<Out>) {
+        let us = micros(now);
+        while let Some(command) = self.links.command() {
+            self.obey(us, command);
+        }
+        let before = out.len();
+        self.release_held(now, out);
+        self.server.answer_watches(now, out);
+        self.pass(us, before, out);
+        while self.delayed.front().is_some_and(|(at, _)| *at <= us) {
+            out.extend(self.delayed.pop_front().map(|(_, answer)| answer));
+        }
+        self.note_lead();
+        for what in self.server.state.abused.drain(..) {
+            self.links.records.send(&Record::Abused { what });
+        }
+        let state = &self.server.state;
+        let gauges = [
+            ("changes", state.writes as f64),
+            ("refused", state.refused as f64),
+            ("keys", state.keys_under("") as f64),
+            ("held", self.held.len() as f64),
+        ];
+        self.links.tell_counts(now, self.flows.flows(), &gauges);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/role/users.rs
@@ -0,0 +1,299 @@
+//! The users of a scale run: an open loop. Jobs are submitted when they are due, however
+//! slow the service is, and times count from then.
+
+use super::Links;
+use crate::scale::flows::FlowCounter;
+use crate::scale::messages::{wall_us, Command, Record, UserEvent};
+use crate::scale::workload::Workload;
+use beamhinge_standins::decode;
+use beamhinge_standins::user::{Next, Told, What};
+use beamhinge_standins::{micros, Us};
+use beamhinge_vocab::http::{Method, Request};
+use beamhinge_vocab::messages::{Dest, Out, Service};
+use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use beamhinge_vocab::wire;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddrV4;
+
+/// How long a user waits for an answer (PROTOCOL), seconds.
+const SUBMIT_WAIT_S: f64 = 5.0;
+const POLL_WAIT_S: f64 = 2.0;
+/// A failed request is repeated after this, seconds.
+const RETRY_S: f64 = 1.0;
+/// A submission or cancellation is given up after this, seconds.
+const GIVE_UP_S: f64 = 60.0;
+const POLL_S: f64 = 5.0;
+/// Connections on which users call.
+const CALLERS: u64 = 512;
+/// The load balancer tries so many nodes before a connection counts as failed.
+const NODES_TRIED: u32 = 3;
+/// A connection that fails sooner than this was refused, seconds.
+const REFUSED_S: f64 = 0.5;
+
+/// A request that is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ask {
+    at: Us,
+    job: u64,
+    kind: Kind,
+    /// When it was due first.
+    due: Us,
+    /// How many nodes refused the connection.
+    refused: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+impl Kind {
+    fn name(self) -> &'static str {
+        match self {
+            Kind::Submit => "submit",
+            Kind::Poll => "poll",
+            Kind::Cancel => "cancel",
+        }
+    }
+
+    fn what(self) -> What {
+        match self {
+            Kind::Submit => What::Submit,
+            Kind::Poll => What::Poll,
+            Kind::Cancel => What::Cancel,
+        }
+    }
+}
+
+struct Flying {
+    ask: Ask,
+    sent: Us,
+}
+
+pub struct UsersRole {
+    controllers: Vec<SocketAddrV4>,
+    workload: Workload,
+    began: Us,
+    /// No job is due after this.
+    until: Us,
+    next_job: u64,
+    queue: BinaryHeap<Reverse<Ask>>,
+    flying: BTreeMap<CallId, Flying>,
+    next_call: u64,
+    told: BTreeMap<u64, Told>,
+    open: usize,
+    rng: StdRng,
+    flows: FlowCounter,
+    links: Links,
+}
+
+impl UsersRole {
+    pub fn new(
+        controllers: Vec<SocketAddrV4>,
+        workload: Workload,
+        seconds: f64,
+        seed: u64,
+        now: Time,
+        links: Links,
+    ) -> UsersRole {
+        let began = micros(now);
+        UsersRole {
+            controllers,
+            workload,
+            began,
+            until: began + (seconds * 1e6) as Us,
+            next_job: 0,
+            queue: BinaryHeap::new(),
+            flying: BTreeMap::new(),
+            next_call: 0,
+            told: BTreeMap::new(),
+            open: 0,
+            rng: StdRng::seed_from_u64(seed),
+            flows: FlowCounter::default(),
+            links,
+        }
+    }
+
+    /// Jobs that are due are submitted, whatever became of those before them.
+    fn submit_due(&mut self, now: Us) {
+        loop {
+            let job = self.workload.job(self.next_job);
+            let due = self.began + (job.due_s * 1e6) as Us;
+            if due > now || due > self.until {
+                return;
+            }
+            let number = self.next_job;
+            self.next_job += 1;
+            self.open += 1;
+            self.told.insert(number, Told { submitted: true, ..Told::default() });
+            let ask = |at, kind| Reverse(Ask { at, job: number, kind, due: at, refused: 0 });
+            self.queue.push(ask(due, Kind::Submit));
+            if let Some(after_s) = job.cancel_s {
+                self.queue.push(ask(due + (after_s * 1e6) as Us, Kind::Cancel));
+            }
+        }
+    }
+
+    fn send(&mut self, now: Us, ask: Ask, out: &mut Vec<Out>) {
+        let job = self.workload.job(ask.job);
+        let (method, path, body, timeout_s) = match ask.kind {
+            Kind::Submit => {
+                (Method::Post, "/api/jobs".into(), wire::encode(&job.body()), SUBMIT_WAIT_S)
+            }
+            Kind::Cancel => {
+                self.note_cancel(ask.job);
+                let path = format!("/api/jobs/{}/cancel", job.id);
+                (Method::Post, path, wire::encode(&json!({})), SUBMIT_WAIT_S)
+            }
+            Kind::Poll => (Method::Get, format!("/api/jobs/{}", job.id), Vec::new(), POLL_WAIT_S),
+        };
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.flying.insert(id, Flying { ask, sent: now });
+        let address = self.controllers[self.rng.gen_range(0..self.controllers.len())];
+        let caller = self.rng.gen_range(0..CALLERS);
+        self.flows.call(ask.kind.name(), (method, &path), body.len());
+        let dest = Dest::Node { address, caller };
+        out.push(Out::Call { id, dest, method, path, body, timeout_s });
+    }
+
+    fn note_cancel(&mut self, job: u64) {
+        let told = self.told.entry(job).or_default();
+        if !told.asked_cancel {
+            told.asked_cancel = true;
+            self.record(job, UserEvent::CancelSent);
+        }
+    }
+
+    fn record(&self, job: u64, event: UserEvent) {
+        self.links.records.send(&Record::User { at: wall_us(), job, event });
+    }
+
+    fn again(&mut self, now: Us, ask: Ask, after_s: f64, refused: u32) {
+        let too_late = now > ask.due + (GIVE_UP_S * 1e6) as Us;
+        if ask.kind != Kind::Poll && too_late {
+            self.answered_at_last(now, ask, 0);
+            return;
+        }
+        let at = now + (after_s * 1e6) as Us;
+        // A poll is a new question each time.
+        let due = if ask.kind == Kind::Poll && refused == 0 { at } else { ask.due };
+        self.queue.push(Reverse(Ask { at, due, refused, ..ask }));
+    }
+
+    fn answered_at_last(&self, now: Us, ask: Ask, status: u16) {
+        let ms = now.saturating_sub(ask.due) as f64 / 1e3;
+        let kind = ask.kind.name().to_string();
+        self.links.records.send(&Record::Answered { kind, ms, status });
+    }
+
+    fn take_reply(&mut self, now: Us, id: CallId, result: Option<(u16, Vec<u8>)>) {
+        let Some(Flying { ask, sent }) = self.flying.remove(&id) else { return };
+        let Some((status, body)) = result else {
+            let refused = now.saturating_sub(sent) < (REFUSED_S * 1e6) as Us;
+            return match refused && ask.refused + 1 < NODES_TRIED {
+                true => self.again(now, ask, 0.0, ask.refused + 1),
+                false => self.again(now, ask, self.pause_s(ask.kind), 0),
+            };
+        };
+        self.flows.reply(ask.kind.name(), status, body.len());
+        let retried = !matches!(status, 200 | 201 | 400 | 404 | 422);
+        // A cancellation may be there before its submission: it comes again.
+        let early = status == 404
+            && ask.kind == Kind::Cancel
+            && self.told.get(&ask.job).is_some_and(|t| !t.accepted);
+        if retried || early {
+            return self.again(now, ask, self.pause_s(ask.kind), 0);
+        }
+        self.answered_at_last(now, ask, status);
+        self.take_answer(now, sent, ask, status, &body);
+    }
+
+    fn pause_s(&self, kind: Kind) -> f64 {
+        if kind == Kind::Poll {
+            POLL_S
+        } else {
+            RETRY_S
+        }
+    }
+
+    fn take_answer(&mut self, now: Us, sent: Us, ask: Ask, status: u16, body: &[u8]) {
+        let value = decode(body);
+        let state = value["status"].as_str().unwrap_or("");
+        let Some(told) = self.told.get_mut(&ask.job) else { return };
+        let before = (told.accepted, told.over, told.done);
+        // Whether all tasks have ended is for the checker, who sees the machines.
+        let (broken, next) = told.answered((now, sent), ask.kind.what(), status, state, true);
+        let after = (told.accepted, told.over, told.done);
+        for rule in broken {
+            self.record(ask.job, UserEvent::Broken(rule.to_string()));
+        }
+        if after.0 && !before.0 {
+            self.record(ask.job, UserEvent::Accepted);
+        }
+        if after.1.is_some() && before.1.is_none() {
+            self.open = self.open.saturating_sub(1);
+            self.record(ask.job, if after.2 { UserEvent::Done } else { UserEvent::Cancelled });
+        }
+        match next {
+            Some(Next::Again(after_s)) => self.again(now, ask, after_s, 0),
+            Some(Next::Poll(after_s)) => {
+                let at = now + (after_s * 1e6) as Us;
+                let poll = Ask { at, job: ask.job, kind: Kind::Poll, due: at, refused: 0 };
+                self.queue.push(Reverse(poll));
+            }
+            None => {}
+        }
+    }
+}
+
+impl Service for UsersRole {
+    fn on_request(
+        &mut self,
+        _now: Time,
+        _wall: WallMs,
+        _door: usize,
+        _id: RequestId,
+        _request: Request,
+        _out: &mut Vec<Out>,
+    ) {
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Time,
+        _wall: WallMs,
+        id: CallId,
+        result: Option<(u16, Vec<u8>)>,
+        _out: &mut Vec<Out>,
+    ) {
+        self.take_reply(micros(now), id, result);
+    }
+
+    fn on_tick(&mut self, now: Time, _wall: WallMs, out: &mut Vec<Out>) {
+        let us = micros(now);
+        while let Some(command) = self.links.command() {
+            if matches!(command, Command::StopSubmitting) {
+                self.until = self.until.min(us);
+            }
+        }
+        self.submit_due(us);
+        while self.queue.peek().is_some_and(|Reverse(ask)| ask.at <= us) {
+            if let Some(Reverse(ask)) = self.queue.pop() {
+                self.send(us, ask, out);
+            }
+        }
+        let gauges = [
+            ("jobs", self.next_job as f64),
+            ("open", self.open as f64),
+            ("flying", self.flying.len() as f64),
+        ];
+        self.links.tell_counts(now, self.flows.flows(), &gauges);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/role/workers.rs
@@ -0,0 +1,223 @@
+//! Workers of a scale run: a pool, and the links of theirs that are cut.
+
+use super::cloud::SHAPE;
+use super::Links;
+use crate::scale::flows::FlowCounter;
+use crate::scale::messages::{wall_us, Command, Record};
+use crate::scale::workload::Workload;
+use beamhinge_standins::cloud::{Host, Kind};
+use beamhinge_standins::processes::Processes;
+use beamhinge_standins::worker_pool::{Seen, WorkerPool};
+use beamhinge_standins::{micros, refuse, Doubles, Us};
+use beamhinge_vocab::http::Request;
+use beamhinge_vocab::messages::{Dest, Out, Service};
+use beamhinge_vocab::settings;
+use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
+
+/// Machines of these zones and these controllers do not reach each other until then.
+struct Cut {
+    zones: Vec<String>,
+    controllers: Vec<SocketAddrV4>,
+    until: Us,
+}
+
+/// A report under way: whose, and to whom.
+struct Report {
+    machine: u64,
+    to: SocketAddrV4,
+}
+
+pub struct WorkersRole {
+    pool: WorkerPool,
+    controllers: Vec<SocketAddrV4>,
+    addresses: Vec<SocketAddrV4>,
+    /// Machines by the place of their address.
+    places: Vec<Option<u64>>,
+    zones: BTreeMap<u64, String>,
+    /// Which controller last answered a machine's report with 200.
+    served_by: BTreeMap<u64, SocketAddrV4>,
+    reports: BTreeMap<CallId, Report>,
+    /// Reports into a cut: they get no answer, from then on.
+    lost: VecDeque<(Us, CallId)>,
+    cuts: Vec<Cut>,
+    workload: Workload,
+    real: bool,
+    flows: FlowCounter,
+    links: Links,
+}
+
+impl WorkersRole {
+    pub fn new(
+        controllers: Vec<SocketAddrV4>,
+        addresses: Vec<SocketAddrV4>,
+        settings: settings::Workers,
+        workload: Workload,
+        real: bool,
+        links: Links,
+    ) -> WorkersRole {
+        let records = links.records.clone();
+        let watcher = Box::new(move |seen: Seen| {
+            let event = seen.event.what.into();
+            let (machine, attempt) = (seen.machine, seen.event.attempt);
+            let piece = seen.event.piece;
+            records.send(&Record::Task { at: wall_us(), machine, piece, attempt, event });
+        });
+        let processes = real.then(|| Processes::new(None, Vec::new()));
+        let doubles = Doubles::default();
+        WorkersRole {
+            pool: WorkerPool::new(controllers.clone(), settings, processes, doubles, watcher),
+            controllers,
+            places: vec![None; addresses.len()],
+            addresses,
+            zones: BTreeMap::new(),
+            served_by: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            lost: VecDeque::new(),
+            cuts: Vec::new(),
+            workload,
+            real,
+            flows: FlowCounter::default(),
+            links,
+        }
+    }
+
+    fn is_cut(&self, now: Us, machine: u64, controller: SocketAddrV4) -> bool {
+        let Some(zone) = self.zones.get(&machine) else { return false };
+        self.cuts
+            .iter()
+            .any(|c| now < c.until && c.zones.contains(zone) && c.controllers.contains(&controller))
+    }
+
+    fn obey(&mut self, now: Us, command: Command) {
+        match command {
+            Command::Boot { machine, zone, spot, cpus, memory_gb, place } => {
+                let Some(address) = self.addresses.get(place) else { return };
+                self.places[place] = Some(machine);
+                self.zones.insert(machine, zone.clone());
+                let shape = SHAPE.to_string();
+                let host = Host {
+                    shape: shape.clone(),
+                    zone,
+                    spot,
+                    rented: now,
+                    up: now,
+                    failed_at: None,
+                };
+                let kind = Kind { label: shape, cpus, memory_gb, rate: 1.0, low: 0.3, boot_s: 0.0 };
+                self.pool.add(now, machine, (host, kind), address.to_string());
+            }
+            Command::Remove { machine } => {
+                self.pool.remove(now, machine);
+                self.zones.remove(&machine);
+                self.served_by.remove(&machine);
+                for place in self.places.iter_mut().filter(|p| **p == Some(machine)) {
+                    *place = None;
+                }
+            }
+            Command::Reboot { machine } => self.pool.reboot(now, machine),
+            Command::CutZones { zones, controllers, seconds } => {
+                let until = now + (seconds * 1e6) as Us;
+                let controllers =
+                    controllers.iter().filter_map(|c| self.controllers.get(*c).copied()).collect();
+                self.cuts.retain(|c| now < c.until);
+                self.cuts.push(Cut { zones, controllers, until });
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts reports, and keeps back those whose way is cut.
+    fn send(&mut self, now: Us, before: usize, out: &mut Vec<Out>) {
+        for call in out.split_off(before) {
+            if let Out::Call { id, dest, method, path, body, timeout_s } = &call {
+                if let Dest::Node { address, caller } = dest {
+                    self.reports.insert(*id, Report { machine: *caller, to: *address });
+                    if self.is_cut(now, *caller, *address) {
+                        self.lost.push_back((now + (timeout_s * 1e6) as Us, *id));
+                        continue;
+                    }
+                }
+                self.flows.call("report", (*method, path), body.len());
+            }
+            out.push(call);
+        }
+    }
+
+    fn take_reply(&mut self, now: Us, id: CallId, result: Option<(u16, Vec<u8>)>) {
+        if let Some((status, body)) = &result {
+            self.flows.reply("report", *status, body.len());
+        }
+        if let Some(report) = self.reports.remove(&id) {
+            if result.as_ref().is_some_and(|(status, _)| *status == 200) {
+                self.served_by.insert(report.machine, report.to);
+            }
+        }
+        let (workload, real) = (&self.workload, self.real);
+        self.pool.on_reply(now, id, result, &mut |job| workload.plan(job, real));
+    }
+}
+
+impl Service for WorkersRole {
+    fn on_request(
+        &mut self,
+        now: Time,
+        _wall: WallMs,
+        door: usize,
+        id: RequestId,
+        request: Request,
+        out: &mut Vec<Out>,
+    ) {
+        let us = micros(now);
+        let (method, path) = (request.method, request.path.as_str());
+        self.flows.request(id, "command", (method, path), request.body.len());
+        let Some(machine) = self.places.get(door).copied().flatten() else {
+            return refuse(out, id, 404);
+        };
+        if path != "/do" {
+            return refuse(out, id, 400);
+        }
+        // Only the controller that serves the machine commands it.
+        if self.served_by.get(&machine).is_some_and(|c| self.is_cut(us, machine, *c)) {
+            return;
+        }
+        match self.pool.direct(us, machine, &request.body) {
+            Some((status, body)) => {
+                self.flows.answer(id, status, body.len());
+                out.push(Out::Answer { to: id, status, retry_after: None, body });
+            }
+            None => refuse(out, id, 404),
+        }
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Time,
+        _wall: WallMs,
+        id: CallId,
+        result: Option<(u16, Vec<u8>)>,
+        _out: &mut Vec<Out>,
+    ) {
+        self.take_reply(micros(now), id, result);
+    }
+
+    fn on_tick(&mut self, now: Time, _wall: WallMs, out: &mut Vec<Out>) {
+        let us = micros(now);
+        while let Some(command) = self.links.command() {
+            self.obey(us, command);
+        }
+        while self.lost.front().is_some_and(|(at, _)| *at <= us) {
+            if let Some((_, id)) = self.lost.pop_front() {
+                self.take_reply(us, id, None);
+            }
+        }
+        let before = out.len();
+        self.pool.step(us, out);
+        self.send(us, before, out);
+        let workers = self.pool.workers().count();
+        let on_machines: usize = self.pool.workers().map(|(_, w)| w.on_machine().count()).sum();
+        let gauges = [("workers", workers as f64), ("running", on_machines as f64)];
+        self.links.tell_counts(now, self.flows.flows(), &gauges);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/sweep.rs
@@ -0,0 +1,114 @@
+//! Slopes: the same run at several sizes, one thing varied, and a line through each
+//! figure.
+
+use super::figures::{self, Figures};
+use super::fit::{least_squares, Fit};
+use super::size::Size;
+use clap::ValueEnum;
+use serde::Serialize;
+
+/// What is varied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Axis {
+    Workers,
+    Starts,
+    Running,
+    Teams,
+}
+
+/// Sizes of a sweep as parts of the full one.
+const PARTS: [f64; 4] = [0.25, 0.5, 0.75, 1.0];
+
+impl Axis {
+    pub fn name(self) -> &'static str {
+        match self {
+            Axis::Workers => "workers",
+            Axis::Starts => "starts a second",
+            Axis::Running => "running tasks",
+            Axis::Teams => "teams",
+        }
+    }
+
+    /// The sizes that are played: this one is varied, all others stay. What cannot stay
+    /// is the length of the runs, which is running tasks by starts.
+    pub fn sizes(self, full: &Size) -> Vec<(f64, Size)> {
+        PARTS.iter().map(|part| self.part(full, *part)).collect()
+    }
+
+    fn part(self, full: &Size, part: f64) -> (f64, Size) {
+        let mut size = full.clone();
+        let of = |n: usize| ((n as f64 * part).round() as usize).max(1);
+        let x = match self {
+            Axis::Workers => {
+                size.workers = of(full.workers);
+                // Fewer machines have room for fewer tasks of the same size.
+                size.running = of(full.running).max(full.starts_per_s.ceil() as usize);
+                size.workers as f64
+            }
+            Axis::Starts => {
+                size.starts_per_s = full.starts_per_s * part;
+                size.starts_per_s
+            }
+            Axis::Running => {
+                size.running = of(full.running).max(full.starts_per_s.ceil() as usize);
+                size.running as f64
+            }
+            Axis::Teams => {
+                size.teams = of(full.teams);
+                size.teams as f64
+            }
+        };
+        (x, size)
+    }
+}
+
+/// One figure over the sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Series {
+    pub name: String,
+    pub unit: &'static str,
+    pub points: Vec<(f64, f64)>,
+    pub fit: Option<Fit>,
+}
+
+type Of = fn(&Figures) -> f64;
+
+fn core(f: &Figures, role: &str) -> f64 {
+    f.roles.get(role).map_or(0.0, |r| r.core)
+}
+
+fn memory(f: &Figures, role: &str) -> f64 {
+    f.roles.get(role).map_or(0.0, |r| r.resident_mb)
+}
+
+fn bytes(f: &Figures, role: &str) -> f64 {
+    f.flows.iter().filter(|(k, _)| k.starts_with(role)).map(|(_, r)| r.bytes_per_s).sum()
+}
+
+const SERIES: [(&str, &str, Of); 13] = [
+    ("leader processor", "core", |f| core(f, figures::LEADER)),
+    ("leader memory", "MB", |f| memory(f, figures::LEADER)),
+    ("other controller processor", "core", |f| core(f, figures::FOLLOWER)),
+    ("other controller memory", "MB", |f| memory(f, figures::FOLLOWER)),
+    ("state service processor", "core", |f| core(f, figures::STATE)),
+    ("state service memory", "MB", |f| memory(f, figures::STATE)),
+    ("state service requests", "a second", |f| f.state_requests_per_s),
+    ("state service changes", "a second", |f| f.state_changes_per_s),
+    ("state service bytes", "B a second", |f| bytes(f, "state ")),
+    ("cloud bytes", "B a second", |f| bytes(f, "cloud ")),
+    ("workers bytes", "B a second", |f| bytes(f, "workers ")),
+    ("users bytes", "B a second", |f| bytes(f, "users ")),
+    ("worker processor", "core", |f| core(f, figures::WORKER)),
+];
+
+/// A line through each figure.
+pub fn series(points: &[(f64, Figures)]) -> Vec<Series> {
+    SERIES
+        .iter()
+        .map(|(name, unit, of)| {
+            let points: Vec<(f64, f64)> = points.iter().map(|(x, f)| (*x, of(f))).collect();
+            let fit = least_squares(&points);
+            Series { name: name.to_string(), unit, points, fit }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/src/scale/usage.rs
@@ -0,0 +1,69 @@
+//! Processor time and memory of processes, from the system's process files.
+
+use procfs::process::Process;
+use procfs::{Current, Meminfo};
+use rustix::process::{getrlimit, Resource};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Of one process since it was first seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Usage {
+    /// Processor time, seconds.
+    pub cpu_s: f64,
+    /// Resident memory now, MB.
+    pub resident_mb: f64,
+}
+
+const MB: f64 = 1024.0 * 1024.0;
+
+/// What a process has used; none if it is gone.
+pub fn of(pid: u32) -> Option<Usage> {
+    let process = Process::new(i32::try_from(pid).ok()?).ok()?;
+    let stat = process.stat().ok()?;
+    let ticks = procfs::ticks_per_second() as f64;
+    Some(Usage {
+        cpu_s: (stat.utime + stat.stime) as f64 / ticks,
+        resident_mb: stat.rss as f64 * procfs::page_size() as f64 / MB,
+    })
+}
+
+/// All memory of the machine, MB.
+pub fn machine_memory_mb() -> f64 {
+    Meminfo::current().map_or(0.0, |m| m.mem_total as f64 / MB)
+}
+
+/// How many files a process of this user may have open; none: no limit.
+pub fn file_limit() -> Option<u64> {
+    getrlimit(Resource::Nofile).current
+}
+
+/// Differences between two looks at the same processes.
+#[derive(Default)]
+pub struct Meter {
+    last: BTreeMap<u32, f64>,
+}
+
+impl Meter {
+    /// Processor seconds since the last look; 0 at the first look at a process.
+    pub fn spent(&mut self, pid: u32, usage: Usage) -> f64 {
+        let before = self.last.insert(pid, usage.cpu_s);
+        before.map_or(0.0, |b| (usage.cpu_s - b).max(0.0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn this_process_uses_time_and_memory() {
+        let own = of(std::process::id()).expect("there");
+        assert!(own.resident_mb > 0.5, "{own:?}");
+        assert!(machine_memory_mb() > own.resident_mb);
+        assert!(of(u32::MAX).is_none());
+        let mut meter = Meter::default();
+        assert_eq!(meter.spent(1, Usage { cpu_s: 3.0, resident_mb: 1.0 }), 0.0);
+        assert_eq!(meter.spent(1, Usage { cpu_s: 3.5, resident_mb: 1.0 }), 0.5);
+    }
+}
--- a/crates/lab/tests/real.rs
+++ b/crates/lab/tests/real.rs
@@ -59,3 +59,26 @@
     assert_eq!(code, Some(1), "{figures}");
     assert!(figures["healthy_returned"].as_u64() > Some(10), "{figures}");
 }
+
+/// A hundred hollow workers beside real ones, with an end of the leader: the budgets and
+/// the rules hold.
+#[test]
+fn a_small_scale_run_holds_its_budgets_through_an_end_of_the_leader() {
+    let (code, figures) = lab(&["scale", "--quick", "--seed", "3", "--fault", "leader-killed@6"]);
+    assert_eq!(code, Some(0), "{figures}");
+    assert!(figures["figures"]["lead_changes"].as_u64() >= Some(1), "{figures}");
+}
+
+/// A sound size is needed before anything starts.
+#[test]
+fn a_scale_run_that_cannot_be_played_says_why() {
+    for (words, why) in [
+        (vec!["scale", "--quick", "--workers", "0"], "workers is 0"),
+        (vec!["scale", "--quick", "--zones", "101"], "zones is 101"),
+        (vec!["scale", "--minutes", "0"], "--minutes 0"),
+    ] {
+        let (code, figures) = lab(&words);
+        assert_eq!(code, Some(1), "{figures}");
+        assert!(figures["error"].as_str().is_some_and(|e| e.contains(why)), "{figures}");
+    }
+}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -2,17 +2,20 @@
 //! platform they need in this process. What a newcomer starts and what the lab
 //! kills are the same.
 
+pub mod controllers;
+pub mod deployment;
+
+use crate::controllers::{ControllerProgram, Controllers};
+use crate::deployment::{Deployment, Links, NodePlace, PlatformLimits, TeamPlan};
 use beamhinge_net::{Door, DoorKind, Net, NetError, Wiring};
 use beamhinge_standins::cloud::Kind;
 use beamhinge_standins::platform::{Plan, Platform, Trouble, Watcher};
 use beamhinge_standins::processes::Processes;
 use beamhinge_standins::Doubles;
 use beamhinge_vocab::settings;
-use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::SocketAddrV4;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc};
 use std::thread::JoinHandle;
@@ -59,10 +62,24 @@
 /// Doors for workers: as many machines may be there at once.
 const WORKER_DOORS: u16 = 58;
 const ZONES: [&str; 2] = ["north", "south"];
+/// The platform of a newcomer's cluster: quick, so that a first look shows something.
+const LIMITS: PlatformLimits = PlatformLimits {
+    report_s: 0.5,
+    lease_s: 4.0,
+    cancel_s: 14.0,
+    state_rps: 400.0,
+    state_write_rps: 200.0,
+    value_kb: 32.0,
+    txn_ops: 32,
+    cloud_rps: 20.0,
+    list_lag_s: 0.2,
+    ram_mb: 256.0,
+    connections: 600,
+};
 
 pub struct Cluster {
     plan: ClusterPlan,
-    children: Vec<Option<Child>>,
+    controllers: Controllers,
     go: Arc<AtomicBool>,
     platform: Option<JoinHandle<()>>,
     troubles: mpsc::Sender<Trouble>,
@@ -97,43 +114,30 @@
         local(self.port + 2)
     }
 
-    fn settings(&self, node: usize) -> String {
-        let mut text = format!(
-            "# Written by the program that starts this cluster.\nlabel = \"{}\"\narea = \"{}\"\n\
-             public_addr = \"{}\"\npeer_bind = \"{}\"\n",
-            label(node),
-            ZONES[node % 2],
-            self.users_of(node),
-            self.peers_of(node)
-        );
-        for other in (0..self.nodes).filter(|o| *o != node) {
-            text.push_str(&format!(
-                "[[members]]\nlabel = \"{}\"\narea = \"{}\"\naddr = \"{}\"\n",
-                label(other),
-                ZONES[other % 2],
-                self.peers_of(other)
-            ));
-        }
-        text.push_str(&format!(
-            "[external]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\nzones = [\"{}\", \"{}\"]\n\
-             skew_ms = 10.0\n",
-            self.cloud(),
-            self.state(),
-            ZONES[0],
-            ZONES[1]
-        ));
-        for (name, cpus, cpus_max) in &self.teams {
-            text.push_str(&format!(
-                "[[params.teams]]\nname = \"{name}\"\ncpus = {cpus:.1}\ncpus_max = {cpus_max:.1}\n"
-            ));
+    fn deployment(&self) -> Deployment {
+        let place = |node: usize| NodePlace {
+            label: label(node).to_string(),
+            zone: ZONES[node % 2].to_string(),
+            users: self.users_of(node),
+            peers: self.peers_of(node),
+            operators: self.operators_of(node),
+        };
+        let team = |(name, cpus, cpus_max): &(String, f64, f64)| TeamPlan {
+            name: name.clone(),
+            cpus: *cpus,
+            cpus_max: *cpus_max,
+        };
+        Deployment {
+            nodes: (0..self.nodes).map(place).collect(),
+            zones: ZONES.iter().map(|z| z.to_string()).collect(),
+            teams: self.teams.iter().map(team).collect(),
+            limits: LIMITS,
         }
-        text.push_str(
-            "[params.workers]\nreport_s = 0.5\nlease_s = 4.0\ncancel_s = 14.0\n\
-             [params.state]\nrps = 400.0\nwrite_rps = 200.0\nvalue_kb = 32.0\ntxn_ops = 32\n\
-             [params.cloud]\nrps = 20.0\nlist_lag_s = 0.2\n\
-             [params.machine_limits]\ncpu_share = 1.0\nram_mb = 256.0\nmax_connections = 600\n",
-        );
-        text
+    }
+
+    fn links(&self) -> Links {
+        let peers = (0..self.nodes).map(|n| self.peers_of(n)).collect();
+        Links { state: self.state(), cloud: self.cloud(), peers }
     }
 
     fn platform(&self, settings: &settings::Settings) -> Plan {
@@ -169,23 +173,21 @@
     }
 }
 
-fn write(path: PathBuf, text: &str) -> Result<PathBuf, ClusterError> {
-    std::fs::write(&path, text).map_err(|e| ClusterError::File(path.clone(), e))?;
-    Ok(path)
-}
-
 impl Cluster {
     /// Writes the settings, starts the platform and all controllers.
     pub fn start(plan: ClusterPlan, watcher: Watcher) -> Result<Cluster, ClusterError> {
         std::fs::create_dir_all(&plan.dir).map_err(|e| ClusterError::File(plan.dir.clone(), e))?;
-        for node in 0..plan.nodes {
-            let name = label(node);
-            write(plan.dir.join(format!("{name}.toml")), &plan.settings(node))?;
-            let ini =
-                format!("[operators]\nlisten = {}\n{}", plan.operators_of(node), plan.operators);
-            write(plan.dir.join(format!("{name}.ini")), &ini)?;
+        let (deployment, links) = (plan.deployment(), plan.links());
+        let mut controllers = Controllers::new(ControllerProgram {
+            program: plan.controller.clone(),
+            dir: plan.dir.clone(),
+            log_level: plan.log_level.clone(),
+        });
+        for (node, place) in deployment.nodes.iter().enumerate() {
+            let text = deployment.settings(node, &links);
+            controllers.add(&place.label, &text, (place.operators, &plan.operators))?;
         }
-        let text = plan.settings(0);
+        let text = deployment.settings(0, &links);
         let sound = settings::Settings::parse("the cluster's settings", &text)
             .map_err(|e| ClusterError::Kept(io::Error::other(e)))?;
         let (troubles, suffered) = mpsc::channel();
@@ -222,8 +224,7 @@
             }
         });
         hear.recv().unwrap_or(Ok(()))?;
-        let children = (0..plan.nodes).map(|_| None).collect();
-        let mut cluster = Cluster { plan, children, go, platform: Some(thread), troubles };
+        let mut cluster = Cluster { plan, controllers, go, platform: Some(thread), troubles };
         for node in 0..cluster.plan.nodes {
             cluster.start_node(node)?;
         }
@@ -235,35 +236,12 @@
     }
 
     pub fn start_node(&mut self, node: usize) -> Result<(), ClusterError> {
-        if self.children[node].is_some() {
-            return Ok(());
-        }
-        let (dir, name) = (&self.plan.dir, label(node));
-        let log = dir.join(format!("{name}.log"));
-        let file = open_log(&log).map_err(|e| ClusterError::File(log.clone(), e))?;
-        let (program, first) = &self.plan.controller;
-        let child = Command::new(program)
-            .args(first)
-            .arg("--operator")
-            .arg(dir.join(format!("{name}.ini")))
-            .arg("--config")
-            .arg(dir.join(format!("{name}.toml")))
-            .env("LOG_LEVEL", &self.plan.log_level)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(file)
-            .spawn()
-            .map_err(|e| ClusterError::Start(program.clone(), e))?;
-        self.children[node] = Some(child);
-        Ok(())
+        self.controllers.start(node)
     }
 
     /// Ends a controller as a power cut would.
     pub fn kill_node(&mut self, node: usize) {
-        if let Some(mut child) = self.children[node].take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.controllers.kill(node);
     }
 
     pub fn trouble(&self, trouble: Trouble) {
@@ -273,36 +251,22 @@
 
     /// Controllers that ended by themselves, which they never should.
     pub fn fallen(&mut self) -> Vec<usize> {
-        let mut fallen = Vec::new();
-        for (node, child) in self.children.iter_mut().enumerate() {
-            let over = child.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)));
-            if over {
-                *child = None;
-                fallen.push(node);
-            }
-        }
-        fallen
+        self.controllers.fallen()
     }
 
     pub fn log_of(&self, node: usize) -> PathBuf {
-        self.plan.dir.join(format!("{}.log", label(node)))
+        self.controllers.log_of(node)
     }
 
     /// Process ids of the controllers that run.
     pub fn processes(&self) -> Vec<u32> {
-        self.children.iter().flatten().map(Child::id).collect()
+        self.controllers.pids()
     }
 }
 
-fn open_log(path: &Path) -> io::Result<File> {
-    OpenOptions::new().create(true).append(true).open(path)
-}
-
 impl Drop for Cluster {
     fn drop(&mut self) {
-        for node in 0..self.children.len() {
-            self.kill_node(node);
-        }
+        (0..self.plan.nodes).for_each(|node| self.kill_node(node));
         self.go.store(false, Ordering::Relaxed);
         if let Some(thread) = self.platform.take() {
             let _ = thread.join();
