--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -35,6 +35,9 @@
 const PROGRESS_S: f64 = 5.0;
 /// Machines that can be rented beside those that are there, as a part of them.
 const SPARE: f64 = 0.05;
+/// The fleet is there all the time: what stands idle before the load, or between two
+/// jobs, is not given back (operators' INI).
+const STANDING_FLEET: &str = "[fleet]\nidle_s = 86400\n";
 /// Between a job's submission and its starts, in report intervals.
 const START_LAG: f64 = 1.5;
 /// The load has built up after so many run times and seconds.
@@ -155,7 +158,7 @@
         });
         for (node, place) in deployment.nodes.iter().enumerate() {
             let text = deployment.settings(node, &layout.links(node));
-            controllers.add(&place.label, &text, (place.operators, ""))?;
+            controllers.add(&place.label, &text, (place.operators, STANDING_FLEET))?;
         }
         let team_limit = deployment.teams.first().map_or(0.0, |t| t.cpus_max);
         let checker = Checker::new(workload, team_limit, plan.size.platform.cancel_s);
