--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -140,6 +140,27 @@
         kind: FreezeKind,
         name: String,
     },
+    /// Teams and quotas as they count now, their version, and which controllers serve by it
+    #[command(after_help = "Example:\n  beamhinge quotas --output json")]
+    Quotas,
+    /// Change teams and quotas, as one or not at all
+    #[command(
+        after_help = "A file (TOML) names the version that you saw and what becomes of each team:
+  seen = 7
+  why = \"third quarter\"
+  [teams.records.set]
+  cpus = 100.0
+  cpus_max = 400.0
+  [teams.audit.add]
+  cpus_max = 50.0
+  [teams]
+  old = \"remove\"      # or \"restore\": as the settings say
+
+Examples:
+  beamhinge set-quotas quarter.toml
+  beamhinge set-quotas --restore-version 6 --seen 7 --why 'wrong file'"
+    )]
+    SetQuotas(SetQuotasOptions),
     /// Drains and freezes that stand
     #[command(after_help = "Example:\n  beamhinge directives")]
     Directives,
@@ -289,6 +310,21 @@
     pub limit: usize,
 }
 
+#[derive(Args)]
+pub struct SetQuotasOptions {
+    /// What becomes of which teams
+    #[arg(value_name = "FILE", required_unless_present = "restore_version")]
+    pub file: Option<PathBuf>,
+    /// Go back to what was in force at this version
+    #[arg(long, conflicts_with = "file", requires = "seen")]
+    pub restore_version: Option<u64>,
+    /// The version that you saw
+    #[arg(long)]
+    pub seen: Option<u64>,
+    #[arg(long, default_value = "")]
+    pub why: String,
+}
+
 #[derive(Args)]
 pub struct DrainOptions {
     #[arg(value_enum)]
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -3,7 +3,9 @@
 use crate::arguments::Output;
 use crate::Failure;
 use beamhinge_client::config::{self, Context, Overrides};
-use beamhinge_operators::messages::{JobDetail, JobRow, MachineRow, NodeRow, Summary, TeamRow};
+use beamhinge_operators::messages::{
+    ConfigurationView, JobDetail, JobRow, MachineRow, NodeRow, Summary, TeamRow,
+};
 use comfy_table::{presets, CellAlignment, ContentArrangement, Table};
 use serde::Serialize;
 use std::io::{self, Write};
@@ -198,6 +200,34 @@
     table(&heads, rows)
 }
 
+/// Teams with their quotas, and whether these are in force everywhere.
+pub fn quotas(view: &ConfigurationView) -> String {
+    let none = |v: f64| if v > 0.0 { format!("{v:.1}") } else { "-".into() };
+    let rows = view.teams.iter().map(|t| {
+        let removed = if t.removed { "removed".into() } else { String::new() };
+        let q = &t.quota;
+        let amounts = [q.cpus, q.cpus_max, q.gpus, q.gpus_max].map(none);
+        std::iter::once(t.team.clone()).chain(amounts).chain([removed]).collect()
+    });
+    let heads = ["team", "#cpus", "#limit", "#gpus", "#limit", ""];
+    let mut text = table(&heads, rows.collect());
+    let author = view.author.as_ref().map(|a| format!(", by {}: {}", a.by, a.why));
+    text.push_str(&format!("\nversion {}{}", view.version, author.unwrap_or_default()));
+    match (view.on, view.in_force_everywhere_since_ms) {
+        (false, _) => text.push_str("; changes are not turned on"),
+        (true, Some(since)) => {
+            let s = beamhinge_client::wall_ms().saturating_sub(since) as f64 / 1e3;
+            text.push_str(&format!("; in force everywhere for {}", age(Some(s)).trim()));
+        }
+        (true, None) => text.push_str("; not in force everywhere"),
+    }
+    for behind in &view.behind {
+        let version = behind.version.map_or("none known".to_string(), |v| format!("version {v}"));
+        text.push_str(&format!("\n  {} serves by {version}", behind.label));
+    }
+    text
+}
+
 pub fn nodes(rows: &[NodeRow]) -> String {
     let rows = rows
         .iter()
--- a/crates/cli/src/verbs.rs
+++ b/crates/cli/src/verbs.rs
@@ -1,8 +1,11 @@
 //! What each verb asks and how its answer is shown.
 
-use crate::arguments::{DrainKind, FreezeKind, JobsOptions, Output, SubmitOptions, Verb};
+use crate::arguments::{
+    DrainKind, FreezeKind, JobsOptions, Output, SetQuotasOptions, SubmitOptions, Verb,
+};
 use crate::{show, Failure};
 use beamhinge_client::{draw_job_id, Client, ClientError};
+use beamhinge_configuration::{Change as ConfigurationChange, Version};
 use beamhinge_operators::directives::{Afterwards, Change, Target};
 use beamhinge_operators::messages::{JobPage, JobRequest, MachinePage, State};
 use beamhinge_vocab::job::JobKind;
@@ -62,6 +65,14 @@
             change(client, Change { set: true, note, ..lift(target) }, output)
         }
         Verb::Thaw { kind, name } => change(client, lift(freeze_target(kind, &name)?), output),
+        Verb::Quotas => show::either(output, &client.configuration()?, show::quotas),
+        Verb::SetQuotas(options) => {
+            let made = client.configure(&quota_change(options)?)?;
+            show::either(output, &made, |made| {
+                let warning = made.warning.as_ref().map(|w| format!("; {w}")).unwrap_or_default();
+                format!("version {} is made{warning}", made.version)
+            })
+        }
         Verb::Directives => show::either(output, &client.directives()?, |d| {
             let now = beamhinge_client::wall_ms();
             let rows = d.directives.iter().map(|d| {
@@ -100,6 +111,29 @@
     }
 }
 
+fn quota_change(options: SetQuotasOptions) -> Result<ConfigurationChange, Failure> {
+    let change = match (&options.file, options.restore_version) {
+        (Some(path), _) => {
+            let text = std::fs::read_to_string(path)
+                .map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
+            let mut change: ConfigurationChange = toml::from_str(&text)
+                .map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
+            if let Some(seen) = options.seen {
+                change.seen = Version(seen);
+            }
+            change
+        }
+        (None, version) => ConfigurationChange {
+            seen: Version(options.seen.unwrap_or(0)),
+            teams: Default::default(),
+            restore_version: version.map(Version),
+            why: options.why,
+        },
+    };
+    change.check_form().map_err(|refusal| Failure::Usage(refusal.to_string()))?;
+    Ok(change)
+}
+
 fn drain_target(kind: DrainKind, name: &str) -> Result<Target, Failure> {
     let kind = match kind {
         DrainKind::Machine => "machine",
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod routing;
 pub mod wire;
 
+use beamhinge_configuration::Change as ConfigurationChange;
 use beamhinge_operators::auth::{Key, Signed};
 use beamhinge_operators::directives::{Change, Changed};
 use beamhinge_operators::messages::{
-    Code, Decisions, Directives, Explanation, Hello, JobDetail, JobPage, JobRequest, JobTold,
-    MachinePage, NodeRow, Problem, Splits, Summary, TeamRow,
+    Code, ConfigurationMade, ConfigurationView, Decisions, Directives, Explanation, Hello,
+    JobDetail, JobPage, JobRequest, JobTold, MachinePage, NodeRow, Problem, Splits, Summary,
+    TeamRow,
 };
 use beamhinge_vocab::http::Method;
 use rand::Rng;
@@ -318,6 +320,17 @@
     pub fn change(&mut self, change: &Change) -> Result<Changed, ClientError> {
         self.post("/v1/directives", change)
     }
+    /// Teams and quotas, their version, and which controllers serve by it.
+    pub fn configuration(&mut self) -> Result<ConfigurationView, ClientError> {
+        self.get("/v1/configuration")
+    }
+    /// Changes teams and quotas. After an answer that was lost, look at the version.
+    pub fn configure(
+        &mut self,
+        change: &ConfigurationChange,
+    ) -> Result<ConfigurationMade, ClientError> {
+        self.post("/v1/configuration", change)
+    }
     pub fn metrics(&mut self) -> Result<String, ClientError> {
         let body = self.call(Method::Get, "/metrics", &[])?;
         String::from_utf8(body).map_err(|e| ClientError::Form(e.to_string()))
--- /dev/null
+++ b/crates/configuration/src/quota.rs
@@ -0,0 +1,60 @@
+//! What a team is guaranteed and may use.
+
+use beamhinge_vocab::settings;
+use serde::{Deserialize, Serialize};
+use validator::{Validate, ValidationError};
+
+/// No team has more CPUs or GPUs.
+const MOST_AMOUNT: f64 = 1e9;
+
+/// CPUs and GPUs that a team is guaranteed, and may use at most; 0: none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+#[validate(schema(function = "limits_hold_guarantees"))]
+pub struct Quota {
+    #[serde(default)]
+    #[validate(custom(function = "is_amount"))]
+    pub cpus: f64,
+    #[serde(default)]
+    #[validate(custom(function = "is_amount"))]
+    pub cpus_max: f64,
+    #[serde(default)]
+    #[validate(custom(function = "is_amount"))]
+    pub gpus: f64,
+    #[serde(default)]
+    #[validate(custom(function = "is_amount"))]
+    pub gpus_max: f64,
+}
+
+fn is_amount(value: f64) -> Result<(), ValidationError> {
+    if value.is_finite() && (0.0..=MOST_AMOUNT).contains(&value) {
+        return Ok(());
+    }
+    let why = "it must be finite and between 0 and a thousand million";
+    Err(ValidationError::new("amount").with_message(why.into()))
+}
+
+fn limits_hold_guarantees(quota: &Quota) -> Result<(), ValidationError> {
+    let below = |guaranteed: f64, limit: f64| limit > 0.0 && limit < guaranteed;
+    if below(quota.cpus, quota.cpus_max) || below(quota.gpus, quota.gpus_max) {
+        let why = "a limit is below its guarantee: raise the limit, or 0 for none";
+        return Err(ValidationError::new("limits").with_message(why.into()));
+    }
+    Ok(())
+}
+
+impl From<&settings::Team> for Quota {
+    fn from(team: &settings::Team) -> Quota {
+        let settings::Team { cpus, cpus_max, gpus, gpus_max, .. } = *team;
+        Quota { cpus, cpus_max, gpus, gpus_max }
+    }
+}
+
+/// A team as it counts now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EffectiveTeam {
+    pub name: String,
+    pub quota: Quota,
+    /// Its accepted jobs run on; new ones are refused.
+    pub removed: bool,
+}
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -55,6 +55,11 @@
     Directives(MirrorCall),
     /// A change of a directive, by its place among those that wait.
     Direct(u64),
+    Configuration(MirrorCall),
+    /// This controller's own key of the version that it serves by.
+    ConfigurationMember,
+    /// A change of configuration, by its place among those that wait.
+    ConfigurationChange(u64),
     Lead(LeadCall),
     Place(PlaceCall),
     Intake(IntakeCall),
--- /dev/null
+++ b/crates/controller/src/configuration/tests.rs
@@ -0,0 +1,101 @@
+use super::*;
+use beamhinge_configuration::stored::{chunk_of, TeamState};
+use beamhinge_configuration::Quota;
+use beamhinge_vocab::settings;
+use serde::Serialize;
+
+fn configuration() -> Configuration {
+    let settings = Settings::parse("t", settings::SAMPLE).expect("sound");
+    let mut configuration = Configuration::new(&settings, true, 7);
+    configuration.base[0].cpus_max = 8.0;
+    configuration.settle();
+    configuration
+}
+
+fn changed<T: Serialize>(path: &str, stamp: u64, value: &T) -> Changed {
+    Changed { path: path.into(), stamp, value: Some(wire::to_value(value)) }
+}
+
+fn head(version: u64) -> Head {
+    let author =
+        Author { id: "x".into(), at_ms: 1, by: "ops".into(), why: "y".into(), restores: None };
+    Head { v: FORM, version: Version(version), author, unknown: BTreeMap::new() }
+}
+
+/// A chunk that limits the first team.
+fn chunk(configuration: &Configuration, cpus_max: f64) -> (String, Chunk) {
+    let team = configuration.base[0].name.clone();
+    let quota = Quota { cpus_max, ..Quota::default() };
+    let path = chunk_key(chunk_of(&team));
+    let teams = BTreeMap::from([(team, TeamState { quota, removed: false })]);
+    (path, Chunk { v: FORM, teams })
+}
+
+fn limit(configuration: &Configuration) -> f64 {
+    configuration.effective().teams[0].quota.cpus_max
+}
+
+/// A chunk that comes before its head is part of a change that is not read yet.
+#[test]
+fn a_change_is_taken_as_a_whole_or_not_at_all() {
+    let mut c = configuration();
+    let (path, value) = chunk(&c, 4.0);
+    c.take(changed(&path, 10, &value));
+    c.settle();
+    assert_eq!((c.effective().version, limit(&c)), (Version(0), 8.0));
+    c.take(changed(HEAD, 10, &head(1)));
+    c.settle();
+    assert_eq!((c.effective().version, limit(&c)), (Version(1), 4.0));
+    // What overtook it and is older changes nothing.
+    let (path, value) = chunk(&c, 9.0);
+    c.take(changed(&path, 9, &value));
+    c.settle();
+    assert_eq!(limit(&c), 4.0);
+}
+
+#[test]
+fn what_a_newer_program_wrote_in_another_form_is_not_decided_on() {
+    let mut c = configuration();
+    c.take(changed(HEAD, 5, &Head { v: FORM + 1, ..head(3) }));
+    c.settle();
+    assert!(c.unreadable && c.fresh().is_none() && limit(&c) == 8.0);
+    // A key of a kind that we don't know is another program's business.
+    let mut c = configuration();
+    c.take(changed("c/later/thing", 5, &1));
+    assert!(!c.unreadable);
+}
+
+#[test]
+fn it_is_in_force_everywhere_once_every_controller_says_so() {
+    let mut c = configuration();
+    c.take(changed(HEAD, 5, &head(2)));
+    let labels = c.labels.clone();
+    let member = |version, at_ms| Member { v: FORM, version: Version(version), nonce: 1, at_ms };
+    for label in &labels {
+        c.take(changed(&member_key(label), 6, &member(1, 100)));
+    }
+    c.settle();
+    assert_eq!(c.in_force().behind.len(), labels.len());
+    for (n, label) in labels.iter().enumerate() {
+        assert_eq!(c.in_force().everywhere_since_ms, None);
+        c.take(changed(&member_key(label), 7, &member(2, 200 + n as u64)));
+    }
+    let last = 200 + labels.len() as u64 - 1;
+    assert_eq!(c.in_force().everywhere_since_ms, Some(last));
+    // One whose lease ended is named.
+    c.take(Changed { path: member_key(&labels[0]), stamp: 8, value: None });
+    assert_eq!(c.in_force().behind, [(labels[0].clone(), None)]);
+}
+
+#[test]
+fn placements_rest_on_the_head_where_configuration_is_on() {
+    let mut c = configuration();
+    assert_eq!(c.condition(), Some((HEAD, Stamp(0))), "also before the first change");
+    c.take(changed(HEAD, 5, &head(1)));
+    c.settle();
+    assert_eq!(c.condition(), Some((HEAD, Stamp(5))));
+    assert_eq!(c.runs_until(), Some(Time::default()), "never read as a whole");
+    let settings = Settings::parse("t", settings::SAMPLE).expect("sound");
+    let off = Configuration::new(&settings, false, 7);
+    assert!(off.condition().is_none() && off.runs_until().is_none() && off.ready());
+}
--- a/crates/controller/src/desk.rs
+++ b/crates/controller/src/desk.rs
@@ -6,6 +6,7 @@
 //! question, so that one who was replaced cannot tell an older state. All that
 //! waits here is bounded in number and time; the rest is told to come back.
 
+use beamhinge_configuration::Change as ConfigurationChange;
 use beamhinge_operators::auth::{Caller, Denied, Guard, Role};
 use beamhinge_operators::directives::Change;
 use beamhinge_operators::messages::{
@@ -40,6 +41,8 @@
     Nodes,
     Directives,
     Direct(Change),
+    Configuration,
+    Configure(Box<ConfigurationChange>),
     Holder(Query),
 }
 
@@ -127,6 +130,12 @@
             (Method::Get, ["v1", "nodes"]) => Route::Nodes,
             (Method::Get, ["v1", "directives"]) => Route::Directives,
             (Method::Post, ["v1", "directives"]) => Route::Direct(change(&request.body)?),
+            (Method::Get, ["v1", "configuration"]) => Route::Configuration,
+            (Method::Post, ["v1", "configuration"]) => {
+                let change: ConfigurationChange = json(&request.body)?;
+                change.check_form().map_err(|refusal| malformed(refusal.to_string()))?;
+                Route::Configure(Box::new(change))
+            }
             (Method::Get, ["v1", "machines"]) => Route::Holder(Query::Machines {
                 shape: words.take("shape"),
                 zone: words.take("zone"),
@@ -145,6 +154,7 @@
                 _,
                 ["metrics"]
                 | ["v1", "hello" | "jobs" | "nodes" | "directives" | "machines" | "teams"]
+                | ["v1", "configuration"]
                 | ["v1", "splits" | "summary" | "decisions"]
                 | ["v1", "jobs", ..],
             ) => {
@@ -170,7 +180,9 @@
     pub fn needs(&self) -> Option<Role> {
         match self {
             Route::Hello => None,
-            Route::Submit(_) | Route::Cancel(_) | Route::Direct(_) => Some(Role::Operator),
+            Route::Submit(_) | Route::Cancel(_) | Route::Direct(_) | Route::Configure(_) => {
+                Some(Role::Operator)
+            }
             _ => Some(Role::Viewer),
         }
     }
@@ -188,6 +200,8 @@
             Route::Nodes => "op_nodes",
             Route::Directives => "op_directives",
             Route::Direct(_) => "op_direct",
+            Route::Configuration => "op_configuration",
+            Route::Configure(_) => "op_configure",
             Route::Holder(_) => "op_holder",
         }
     }
@@ -278,6 +292,7 @@
     Jobs(JobFilter),
     Job { id: JobId, explain: bool },
     Directives,
+    Configuration,
 }
 
 #[derive(Debug)]
@@ -287,6 +302,14 @@
     pub query: Query,
 }
 
+/// How fresh our copies of the state service are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Copies {
+    pub jobs: Option<Time>,
+    pub directives: Option<Time>,
+    pub configuration: Option<Time>,
+}
+
 /// How much the desk takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -439,18 +462,23 @@
         self.local.iter().any(|l| matches!(l.want, Want::Directives))
     }
 
+    pub fn asks_configuration(&self) -> bool {
+        self.local.iter().any(|l| matches!(l.want, Want::Configuration))
+    }
+
     pub fn asks_hold(&self) -> bool {
         !self.asked.is_empty()
     }
 
     /// Questions that a copy of this age can answer.
-    pub fn ready_local(&mut self, book: Option<Time>, directives: Option<Time>) -> Vec<Local> {
+    pub fn ready_local(&mut self, copies: &Copies) -> Vec<Local> {
         let mut ready = Vec::new();
         let waiting = std::mem::take(&mut self.local);
         for l in waiting {
             let fresh = match l.want {
-                Want::Directives => directives,
-                _ => book,
+                Want::Directives => copies.directives,
+                Want::Configuration => copies.configuration,
+                _ => copies.jobs,
             };
             if fresh.is_some_and(|f| f >= l.since) {
                 ready.push(l);
--- a/crates/controller/src/faults.rs
+++ b/crates/controller/src/faults.rs
@@ -55,12 +55,18 @@
     pub direct_absence: bool,
     /// A result is cleared on its machine before the state service knows it.
     pub early_clear: bool,
+    /// Placements do not rest on the version of the teams' limits.
+    pub no_configuration: bool,
+    /// A holder that does not know which limits stand sends `run` all the same.
+    pub stale_runs: bool,
+    /// A change of configuration is taken in parts.
+    pub half_applied: bool,
 }
 
 /// A switch's name in scenario files, and the switch.
 type Named = (&'static str, fn(&mut Faults) -> &mut bool);
 
-const NAMES: [Named; 23] = [
+const NAMES: [Named; 26] = [
     ("unbounded", |f| &mut f.unbounded),
     ("hasty", |f| &mut f.hasty),
     ("scattered", |f| &mut f.scattered),
@@ -84,6 +90,9 @@
     ("blind_return", |f| &mut f.blind_return),
     ("direct_absence", |f| &mut f.direct_absence),
     ("early_clear", |f| &mut f.early_clear),
+    ("no_configuration", |f| &mut f.no_configuration),
+    ("stale_runs", |f| &mut f.stale_runs),
+    ("half_applied", |f| &mut f.half_applied),
 ];
 
 impl Faults {
--- a/crates/controller/src/intake.rs
+++ b/crates/controller/src/intake.rs
@@ -10,6 +10,7 @@
 use crate::ledger::{Committed, Full, Ledger, Outcome, Priority, Reply};
 use crate::mirror::Freshness;
 use crate::split::{self, Need, Shape};
+use beamhinge_configuration::EffectiveTeam;
 use beamhinge_vocab::messages::{Counts, Out};
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{JobId, RequestId, Stamp, Time, WallMs};
@@ -154,11 +155,18 @@
     Undecided,
 }
 
-/// Whether a job can ever run here.
-pub fn judge(spec: &JobSpec, settings: &Settings, shapes: &[Shape]) -> Verdict {
-    let Some(team) = settings.team(&spec.team).and_then(|t| settings.params.teams.get(t)) else {
-        return Verdict::Never("unknown team");
-    };
+/// Whether a job can ever run here; `team` is its team as it counts now.
+pub fn judge(
+    spec: &JobSpec,
+    team: Option<&EffectiveTeam>,
+    settings: &Settings,
+    shapes: &[Shape],
+) -> Verdict {
+    let Some(team) = team else { return Verdict::Never("unknown team") };
+    if team.removed {
+        return Verdict::Never("the team was removed");
+    }
+    let team = &team.quota;
     let count = if spec.kind == JobKind::Standing { f64::from(spec.tasks) } else { 1.0 };
     if (team.cpus_max > 0.0 && spec.cpus * count > team.cpus_max + split::EPSILON)
         || (team.gpus_max > 0.0 && spec.gpus * count > team.gpus_max + split::EPSILON)
--- a/crates/controller/src/intake/tests.rs
+++ b/crates/controller/src/intake/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::calls::MirrorCall;
 use crate::split::tests::c8;
+use beamhinge_configuration::Snapshot;
 use beamhinge_vocab::settings::SAMPLE;
 use serde_json::{json, Value as Json};
 
@@ -102,7 +103,9 @@
         let mut body = submission();
         body[field] = value;
         let (_, spec) = read_submission(&wire::encode(&body), WallMs(1)).expect("sound");
-        judge(&spec, &settings, if known { &shapes } else { &[] })
+        let teams = Snapshot::default().effective(&settings.params.teams);
+        let team = teams.iter().find(|team| *team.name == *spec.team);
+        judge(&spec, team, &settings, if known { &shapes } else { &[] })
     };
     let never = |v: Verdict| matches!(v, Verdict::Never(_));
     assert_eq!(judged("pieces", json!(100_000), true), Verdict::Possible);
--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// The lease of the state service that this controller keeps, if it has one.
+    pub fn permit(&self) -> Option<u64> {
+        self.permit
+    }
+
     pub fn token(&self) -> Option<Token> {
         self.token
     }
--- a/crates/controller/src/ledger.rs
+++ b/crates/controller/src/ledger.rs
@@ -184,6 +184,12 @@
         Txn::new(self.limits())
     }
 
+    /// An empty transaction for what is rare and can't be made in parts: it is sent from a
+    /// full bucket, which pays it back later.
+    pub fn whole_txn(&self) -> Txn {
+        Txn::new(self.limits)
+    }
+
     /// Writes that could be sent now, and the rate at which they come back.
     pub fn writes_left(&mut self, now: Time) -> (f64, f64) {
         self.writes.fill(now);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod blocks;
 pub mod calls;
 pub mod chronicle;
+pub mod configuration;
 pub mod desk;
 pub mod directives;
 pub mod faults;
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -5,12 +5,13 @@
 
 use crate::calls::Tag;
 use crate::chronicle::Chronicle;
+use crate::configuration::Configuration;
 use crate::desk::{Desk, Limits};
 use crate::directives::Directives;
 use crate::faults::{broken, Faults};
 use crate::fleet::{Fleet, Senses, WORD_S};
 use crate::intake::{self, Context, Intake};
-use crate::jobs::JobBook;
+use crate::jobs::{JobBook, JobSpec};
 use crate::leader::{Leader, Standing};
 use crate::ledger::{Ledger, Reply};
 use crate::metrics::Metrics;
@@ -95,6 +96,7 @@
     /// Who was found stuck as a holder, and when.
     stuck: BTreeMap<String, Time>,
     directives: Directives,
+    configuration: Configuration,
     /// None where no operators' address is set.
     desk: Option<Desk>,
     metrics: Metrics,
@@ -146,6 +148,7 @@
             stall: Stall::new(stuck_after_s(&settings)),
             stuck: BTreeMap::new(),
             directives: Directives::default(),
+            configuration: Configuration::new(&settings, operator.configuration, nonce),
             metrics: Metrics::new(desk.is_some()),
             desk,
             measured: Time::default(),
@@ -163,6 +166,7 @@
         self.fleet.put_back(faults);
         self.leader.faults = faults;
         self.intake.faults = faults;
+        self.configuration.half_applied = faults.half_applied;
     }
 
     pub fn is_holder(&self) -> bool {
@@ -271,12 +275,22 @@
         match intake::read_submission(body, wall) {
             Err(why) => refuse(out, id, 400, why),
             Ok((job, spec)) => {
-                let verdict = intake::judge(&spec, &self.settings, self.fleet.shapes());
+                let verdict = self.judge(&spec);
                 self.intake.submit(now, id, (job, spec), verdict, &self.book, out);
             }
         }
     }
 
+    /// Whether a job can ever run here, by the teams that count now. One who does not
+    /// know them yet does not decide: a team may have been added.
+    fn judge(&self, spec: &JobSpec) -> intake::Verdict {
+        if !self.configuration.ready() {
+            return intake::Verdict::Undecided;
+        }
+        let team = self.configuration.effective().team(&spec.team);
+        intake::judge(spec, team, &self.settings, self.fleet.shapes())
+    }
+
     fn hello(&mut self, now: Time, id: RequestId, body: &[u8], out: &mut Vec<Out>) {
         let Ok(report) = wire::decode::<Report>(body) else {
             return refuse(out, id, 400, "the report has an unknown form");
@@ -394,6 +408,16 @@
                 self.directives.on_written(now, serial, reply, &mut told);
                 self.answer_changes(told, out);
             }
+            Tag::Configuration(call) => {
+                self.configuration.on_reply(now, call, reply);
+                self.spread_teams(now);
+            }
+            Tag::ConfigurationMember => self.configuration.on_registered(),
+            Tag::ConfigurationChange(serial) => {
+                let mut told = Vec::new();
+                self.configuration.on_changed(now, serial, reply, &mut told);
+                self.answer_configured(told, out);
+            }
             Tag::Job(call) => {
                 let freshness = self.book.on_reply(now, call, reply);
                 self.spread_changes(now);
@@ -409,6 +433,10 @@
                     Verdict::Fine => {}
                     Verdict::Confirmed(sent) => self.leader.confirmed(sent),
                     Verdict::RefreshJobs => self.book.want_refresh(),
+                    Verdict::RefreshConfiguration => {
+                        self.configuration.want_refresh();
+                        self.book.want_refresh();
+                    }
                     Verdict::Deposed => {
                         let standing = self.leader.deposed(now);
                         self.on_standing(now, standing);
@@ -444,6 +472,17 @@
         }
     }
 
+    /// Teams that changed count for placements from here on.
+    fn spread_teams(&mut self, now: Time) {
+        if !self.configuration.take_changed() {
+            return;
+        }
+        let effective = self.configuration.effective().clone();
+        if let Some(place) = &mut self.place {
+            place.set_teams(now, &effective);
+        }
+    }
+
     fn on_standing(&mut self, now: Time, standing: Standing) {
         match standing {
             Standing::Same => {}
@@ -467,6 +506,13 @@
                 if let Some(place) = &mut self.place {
                     place.faults = self.faults;
                 }
+                if self.configuration.is_on() {
+                    self.configuration.want_refresh();
+                    let effective = self.configuration.effective().clone();
+                    if let Some(place) = &mut self.place {
+                        place.set_teams(now, &effective);
+                    }
+                }
                 self.fleet.begin_term(now, token, &self.operator, &self.settings);
                 self.elsewhere = Hearsay::default();
                 let long = stuck_after_s(&self.settings) * 6.0;
@@ -834,6 +880,14 @@
         self.metrics.sent(now, new);
     }
 
+    fn tick_configuration(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
+        let asked = self.desk.as_ref().is_some_and(Desk::asks_configuration);
+        let permit = self.leader.permit();
+        let mut told = Vec::new();
+        self.configuration.tick(now, wall, (asked, permit), &mut self.ledger, &mut told);
+        self.answer_configured(told, out);
+    }
+
     /// All loops, until nothing more follows from what is known.
     fn run(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
         for _ in 0..4 {
@@ -846,12 +900,17 @@
             let asks = self.desk.as_ref().is_some_and(Desk::asks_directives);
             self.directives.tick(now, wall, asks, &mut self.ledger, &mut told);
             self.answer_changes(told, out);
+            self.tick_configuration(now, wall, out);
             self.intake.tick(now, &self.book, &mut self.ledger, out);
             let may_place = self.entitled(now);
             let directed = self.directives.fresh();
             if let Some(place) = &mut self.place {
                 // Drains as of before the takeover would be forgotten else.
-                let may_place = may_place && directed.is_some_and(|f| f >= place.took());
+                let known = !self.configuration.is_on()
+                    || self.configuration.fresh().is_some_and(|f| f >= place.took());
+                let may_place = may_place && known && directed.is_some_and(|f| f >= place.took());
+                let runs_until = self.configuration.runs_until();
+                place.rest_on(self.configuration.condition(), runs_until);
                 place.tick(
                     now,
                     wall,
--- a/crates/controller/src/node/operators.rs
+++ b/crates/controller/src/node/operators.rs
@@ -2,14 +2,19 @@
 //! jobs, to the slices or to the holder, and their answers.
 
 use super::Node;
-use crate::desk::{self, Asked, Asker, Local, Merge, Route, Want, ANSWER_LIMIT, MOST_LOOKED_AT};
+use crate::configuration::Told as Configured;
+use crate::desk::{
+    self, Asked, Asker, Copies, Local, Merge, Route, Want, ANSWER_LIMIT, MOST_LOOKED_AT,
+};
 use crate::directives::Told;
 use crate::intake;
 use crate::jobs::{Entry, JobState};
+use beamhinge_configuration::{Change, EffectiveTeam};
 use beamhinge_operators::auth::Caller;
 use beamhinge_operators::messages::{
-    Code, Decisions, Directives, Explanation, Hello, JobDetail, JobFilter, JobPage, JobRequest,
-    JobRow, JobTold, NodeRow, Placed, Query, SpecView, State, Summary,
+    BehindRow, Code, ConfigurationMade, ConfigurationView, Decisions, Directives, Explanation,
+    Hello, JobDetail, JobFilter, JobPage, JobRequest, JobRow, JobTold, NodeRow, Placed, Query,
+    QuotaRow, SpecView, State, Summary,
 };
 use beamhinge_vocab::http::{Content, Request};
 use beamhinge_vocab::messages::Out;
@@ -96,6 +101,18 @@
             Route::Jobs(filter) => desk.wait(now, id, Want::Jobs(filter)),
             Route::Job { id: job, explain } => desk.wait(now, id, Want::Job { id: job, explain }),
             Route::Directives => desk.wait(now, id, Want::Directives),
+            Route::Configuration if self.configuration.is_on() => {
+                desk.wait(now, id, Want::Configuration);
+            }
+            Route::Configuration => {
+                let view = self.tell_configuration();
+                desk::say(out, id, 200, &view);
+            }
+            Route::Configure(change) => {
+                let by = caller.name;
+                tracing::info!(%by, seen = change.seen.0, teams = change.teams.len(), "configuration");
+                self.configure(now, id, *change, by, out);
+            }
             Route::Direct(change) => {
                 tracing::info!(by = %caller.name, set = change.set, target = %change.target, "directive");
                 if !self.directives.change(now, id, change, caller.name) {
@@ -128,7 +145,7 @@
         if let Err(why) = intake::sound(&spec) {
             return desk::refuse(out, id, 400, Code::Malformed, why);
         }
-        let verdict = intake::judge(&spec, &self.settings, self.fleet.shapes());
+        let verdict = self.judge(&spec);
         if let Some(desk) = &mut self.desk {
             desk.leave_to_others(id);
         }
@@ -250,7 +267,12 @@
         if desk.asks_hold() && self.place.is_some() {
             self.leader.want_check(now);
         }
-        for local in desk.ready_local(self.book.fresh(), self.directives.fresh()) {
+        let copies = Copies {
+            jobs: self.book.fresh(),
+            directives: self.directives.fresh(),
+            configuration: self.configuration.fresh(),
+        };
+        for local in desk.ready_local(&copies) {
             self.answer_local(now, wall, local, out);
         }
         let entitled = self.entitled(now);
@@ -292,6 +314,10 @@
                 let directives = standing.iter().map(|d| (**d).clone()).collect();
                 desk::say(out, to, 200, &Directives { directives });
             }
+            Want::Configuration => {
+                let view = self.tell_configuration();
+                desk::say(out, to, 200, &view);
+            }
             Want::Jobs(filter) => {
                 let page = self.list(wall, &filter);
                 desk::say(out, to, 200, &page);
@@ -534,6 +560,63 @@
         self.metrics.render(&gauges, counters.into_iter())
     }
 
+    fn tell_configuration(&self) -> ConfigurationView {
+        let in_force = self.configuration.in_force();
+        let effective = self.configuration.effective();
+        let behind = |(label, version)| BehindRow { label, version };
+        let row = |team: &EffectiveTeam| QuotaRow {
+            team: team.name.clone(),
+            quota: team.quota,
+            removed: team.removed,
+        };
+        let on = self.configuration.is_on();
+        ConfigurationView {
+            on,
+            version: effective.version,
+            author: in_force.author,
+            in_force_everywhere_since_ms: in_force.everywhere_since_ms.filter(|_| on),
+            behind: in_force.behind.into_iter().filter(|_| on).map(behind).collect(),
+            unknown_fields: in_force.unknown_fields,
+            teams: effective.teams.iter().map(row).collect(),
+        }
+    }
+
+    fn configure(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        change: Change,
+        by: String,
+        out: &mut Vec<Out>,
+    ) {
+        if !self.configuration.is_on() {
+            let why = "changes are not turned on here: set `[configuration] on = yes` in the \
+                       operators' file of every controller";
+            return desk::refuse(out, id, 409, Code::Refused, why);
+        }
+        // Only the holder knows the fleet; elsewhere nobody is warned.
+        let shapes = self.fleet.shapes();
+        let totals = self.place.as_ref().filter(|p| p.loaded());
+        let fleet_cpus = totals.map(|place| place.totals(now, self.wall, shapes).cpus);
+        if !self.configuration.change(now, id, change, by, fleet_cpus) {
+            desk::busy(out, id, "too many changes wait");
+        }
+    }
+
+    pub(super) fn answer_configured(&self, told: Vec<(RequestId, Configured)>, out: &mut Vec<Out>) {
+        for (request, told) in told {
+            match told {
+                Configured::Made { version, warning } => {
+                    desk::say(out, request, 200, &ConfigurationMade { version, warning });
+                }
+                Configured::Refused(refusal) => {
+                    desk::refuse(out, request, 409, Code::Refused, &refusal.to_string());
+                }
+                Configured::Busy(why) => desk::busy(out, request, &why),
+            }
+        }
+    }
+
     pub(super) fn answer_changes(&mut self, told: Vec<(RequestId, Told)>, out: &mut Vec<Out>) {
         for (request, told) in told {
             match told {
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -245,6 +245,12 @@
         if !rests {
             return;
         }
+        // No placement made by an older version of the teams' limits commits.
+        if let Some((key, stamp)) = self.configuration {
+            if !broken!(self.faults, no_configuration) && txn.when(key, stamp).is_err() {
+                return;
+            }
+        }
         self.aside.retain(|_, until| *until > now);
         let few = limits.writes < KINDS.len();
         let first = if few { self.turn } else { 0 };
@@ -519,7 +525,9 @@
                 if failed.iter().any(|k| k == BLOCK) {
                     return Verdict::Deposed;
                 }
-                if failed.iter().any(|k| !k.starts_with(jobs::PREFIX)) {
+                let configuration = |k: &String| k.starts_with(configuration::PREFIX);
+                let of_books = |k: &String| !k.starts_with(jobs::PREFIX) && !configuration(k);
+                if failed.iter().any(of_books) {
                     self.reload();
                 }
                 // Plans for a job that changed are dropped; what it is now,
@@ -531,6 +539,9 @@
                         j.hold_until = now.plus(0.3);
                     }
                 }
+                if failed.iter().any(configuration) {
+                    return Verdict::RefreshConfiguration;
+                }
                 Verdict::RefreshJobs
             }
             Outcome::Refused => {
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -8,6 +8,7 @@
 use crate::blocks::{self, PageNo, Pages, Row};
 use crate::calls::{PlaceCall, Tag};
 use crate::chronicle::Chronicle;
+use crate::configuration;
 use crate::directives::Standing;
 use crate::faults::{broken, Faults};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
@@ -400,6 +401,8 @@
     Deposed,
     Confirmed(Time),
     RefreshJobs,
+    /// The teams' limits were changed: the placement was made by older ones.
+    RefreshConfiguration,
 }
 
 /// A holder asks the state service each second: beyond this it is out of touch.
@@ -492,6 +495,12 @@
     replan: bool,
     next_attempt: u64,
     teams: Vec<(f64, f64, f64, f64)>,
+    /// The key and stamp of the configuration that the teams are from.
+    configuration: Option<(&'static str, Stamp)>,
+    /// No `run` is sent from then on, until the configuration is read again.
+    runs_until: Option<Time>,
+    /// Some team uses more than a limit that was lowered.
+    above_limits: bool,
     standing: Rc<Standing>,
     pub chronicle: Chronicle,
     team_names: Vec<String>,
@@ -561,6 +570,9 @@
             replan: true,
             next_attempt: token.0 << 20,
             runs: BTreeMap::new(),
+            configuration: None,
+            runs_until: None,
+            above_limits: false,
             standing,
             chronicle,
             team_names: settings.params.teams.iter().map(|t| t.name.clone()).collect(),
--- a/crates/controller/src/placement/obey.rs
+++ b/crates/controller/src/placement/obey.rs
@@ -2,6 +2,7 @@
 //! of frozen teams and classes, and what is there ends, saves or moves in time.
 
 use super::*;
+use crate::configuration::Effective;
 
 impl Placement {
     /// Takes a changed will in. What was placed against it, and whose `run`
@@ -16,6 +17,92 @@
         self.take_back(now);
     }
 
+    /// Takes changed teams in. A limit that was lowered stops nothing; what was placed
+    /// above it, and whose `run` never went out, returns.
+    pub fn set_teams(&mut self, now: Time, effective: &Effective) {
+        for team in &effective.teams {
+            let quota = &team.quota;
+            let limits = (quota.cpus, quota.cpus_max, quota.gpus, quota.gpus_max);
+            match self.team_names.iter().position(|name| *name == team.name) {
+                Some(at) => self.teams[at] = limits,
+                // Entries name teams by their place: none ever moves.
+                None => {
+                    self.team_names.push(team.name.clone());
+                    self.teams.push(limits);
+                }
+            }
+        }
+        self.name_teams();
+        self.above_limits = true;
+        self.replan = true;
+        self.take_back_above_limits(now);
+    }
+
+    /// What placements and starts rest on from here on.
+    pub fn rest_on(&mut self, key: Option<(&'static str, Stamp)>, runs_until: Option<Time>) {
+        self.configuration = key;
+        self.runs_until = runs_until;
+    }
+
+    /// Whether a `run` may go out: the limits that it was placed by are known to be in
+    /// force, or were changed too short a while ago to matter.
+    pub(super) fn may_run(&self, now: Time) -> bool {
+        broken!(self.faults, stale_runs) || self.runs_until.is_none_or(|until| now < until)
+    }
+
+    /// Tasks that were there before their team was known count for it from now on.
+    fn name_teams(&mut self) {
+        let names = &self.team_names;
+        let place = |spec: &JobSpec| names.iter().position(|n| **n == *spec.team);
+        let teams: BTreeMap<JobId, Option<usize>> =
+            self.jobs.iter().map(|(id, job)| (*id, place(&job.spec))).collect();
+        for m in self.machines.values_mut() {
+            for (task, e) in m.entries.iter_mut().filter(|(_, e)| e.team.is_none()) {
+                e.team = teams.get(&task.job).copied().flatten();
+            }
+        }
+    }
+
+    /// While a team uses more than its limit, what was never sent returns.
+    fn take_back_above_limits(&mut self, now: Time) {
+        if !self.above_limits {
+            return;
+        }
+        let mut used = vec![(0.0, 0.0); self.teams.len()];
+        let mut unsent: Vec<Vec<(MachineId, TaskId, Need)>> = vec![Vec::new(); self.teams.len()];
+        for (id, m) in &self.machines {
+            for (task, e) in &m.entries {
+                let Some(t) = e.team else { continue };
+                used[t].0 += e.need.cpus;
+                used[t].1 += e.need.gpus;
+                if !e.may_be_there() {
+                    unsent[t].push((*id, *task, e.need));
+                }
+            }
+        }
+        let mut waits = false;
+        for t in 0..self.teams.len() {
+            let (_, cpus_max, _, gpus_max) = self.teams[t];
+            let above = |used: (f64, f64)| {
+                cpus_max > 0.0 && used.0 > cpus_max + EPSILON
+                    || gpus_max > 0.0 && used.1 > gpus_max + EPSILON
+            };
+            for (machine, task, need) in unsent[t].iter().rev() {
+                if !above(used[t]) {
+                    break;
+                }
+                // A commit under way is waited for: its page names the task.
+                if self.entry(*machine, *task).is_some_and(|e| e.flying) {
+                    waits = true;
+                    continue;
+                }
+                self.end(now, *machine, *task, false, 0.0);
+                used[t] = (used[t].0 - need.cpus, used[t].1 - need.gpus);
+            }
+        }
+        self.above_limits = waits;
+    }
+
     /// Committed or planned is not started: these go elsewhere, or wait.
     fn take_back(&mut self, now: Time) {
         if self.standing.is_empty() {
@@ -41,6 +128,7 @@
     /// Drains whose time is running out stop what has not ended, so that what
     /// can save has done so by then.
     pub(super) fn obey(&mut self, now: Time, wall: WallMs) {
+        self.take_back_above_limits(now);
         if self.standing.is_empty() {
             return;
         }
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -499,6 +499,7 @@
             }
         }
         self.stops.remove(&id);
+        let may_run = self.may_run(now);
         let Some(m) = self.machines.get_mut(&id) else { return orders };
         for (task, e) in m.entries.iter().filter(|(_, e)| e.kill.is_some()) {
             let stops = matches!(e.state, State::Seen(_)) && !over.contains(&(*task, e.attempt));
@@ -535,6 +536,8 @@
                 || self.jobs.get(&task.job).is_some_and(|j| {
                     self.standing.freeze_of(&j.spec.team, &j.spec.class).is_some()
                 });
+            // What was placed by limits of which it is not known that they stand waits.
+            let stopped = stopped || !may_run;
             let waits = e.ahead.is_some() && !e.need.fits(&free);
             if !open || stopped || waits {
                 if e.kept {
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -379,3 +379,14 @@
         );
     }
 }
+
+/// A holder that does not know which limits stand sends no `run`: what it placed may be
+/// beyond a limit that was lowered meanwhile.
+#[test]
+fn no_run_goes_out_on_a_configuration_that_is_too_old() {
+    let (_, mut place) = cancelled("job-1");
+    let now = at(NOW);
+    assert!(place.may_run(now), "nothing was ever changed");
+    place.rest_on(None, Some(now.plus(7.0)));
+    assert!(place.may_run(now.plus(6.9)) && !place.may_run(now.plus(7.0)));
+}
--- /dev/null
+++ b/crates/lab/src/configuration.rs
@@ -0,0 +1,118 @@
+//! How soon changes of quotas are in force everywhere: drawn days in simulated time, with
+//! and without faults, and the rule that nothing starts beyond a limit in force.
+
+use crate::LabError;
+use beamhinge_controller::faults::Faults;
+use beamhinge_sim::scenario;
+use clap::Args;
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// The time that operators ask for, seconds.
+const IN_FORCE_S: f64 = 11.0;
+/// Changes of one day, and seconds between them.
+const CHANGES: u32 = 12;
+const EVERY_S: f64 = 5.0;
+const THREADS: usize = 6;
+const LONGEST_MS: u64 = 600_000;
+
+#[derive(Args)]
+pub struct Options {
+    /// How many days are played
+    #[arg(long, default_value_t = 100)]
+    days: u64,
+    /// Controllers
+    #[arg(long, default_value_t = 3)]
+    nodes: u8,
+    /// Ends, cuts, lost answers and a state service that is away
+    #[arg(long)]
+    faults: bool,
+}
+
+/// A day on which a limit moves up and down, as a scenario.
+fn day(seed: u64, options: &Options) -> String {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut text = format!(
+        "seed {seed}\nnodes {}\nowned 20\nspot 0\nordinary 0\nlarge 0\nteam-max 32\n\
+         configuration on\nworkers report=1 lease=26 cancel=56\n\
+         at 1 stream 10 count=60 every=1 tasks=6 cpus=1 run=6\n",
+        options.nodes
+    );
+    for n in 0..CHANGES {
+        let at = 8.0 + EVERY_S * f64::from(n) + rng.gen_range(0.0..3.0);
+        let limit = rng.gen_range(2..30);
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "at {at:.2} op c{n} POST /v1/configuration \
+             {{\"seen\":{n},\"teams\":{{\"one\":{{\"set\":{{\"cpus_max\":{limit}}}}}}}}}"
+        );
+    }
+    if options.faults {
+        let at = |rng: &mut StdRng| rng.gen_range(8.0..60.0);
+        let lines = [
+            format!("at {:.1} fast-restart leader 3", at(&mut rng)),
+            format!("at {:.1} fast-restart follower 3", at(&mut rng)),
+            format!("at {:.1} cut follower state 8", at(&mut rng)),
+            format!("at {:.1} lose-replies part=0.3", at(&mut rng)),
+            format!("at {:.1} state-slow factor=60 for=8", at(&mut rng)),
+            format!("at {:.1} state-down 4", at(&mut rng)),
+        ];
+        lines.iter().for_each(|line| {
+            let _ = writeln!(text, "{line}");
+        });
+        text.push_str("at 62 calm\n");
+    }
+    text.push_str("at 75 op last POST /v1/configuration ");
+    // Whatever was made: the last limit is of no matter, so that all work can be done.
+    text.push_str(
+        "{\"seen\":999,\"teams\":{\"one\":\"restore\"}}\nend 90\nunsettled limits stay low\n",
+    );
+    text
+}
+
+pub fn run(seed: u64, options: &Options) -> Result<Value, LabError> {
+    let next = AtomicU64::new(0);
+    let all: Mutex<(Vec<f64>, Vec<String>)> = Mutex::default();
+    let work = || loop {
+        let n = next.fetch_add(1, Ordering::Relaxed);
+        if n >= options.days {
+            return;
+        }
+        let played = scenario::play(&day(seed * 10_000 + n, options), Faults::default());
+        let mut all = all.lock().unwrap_or_else(|e| e.into_inner());
+        match played {
+            Ok(outcome) => {
+                all.0.extend(outcome.in_force_s);
+                all.1.extend(outcome.wrong.iter().map(|wrong| format!("day {n}: {wrong}")));
+            }
+            Err(e) => all.1.push(format!("day {n}: {e}")),
+        }
+    };
+    std::thread::scope(|s| (0..THREADS).for_each(|_| drop(s.spawn(work))));
+    let (took, wrong) = all.into_inner().unwrap_or_else(|e| e.into_inner());
+    let mut times = Histogram::<u64>::new_with_max(LONGEST_MS, 3)
+        .map_err(|e| LabError::Other(e.to_string()))?;
+    took.iter().for_each(|s| times.saturating_record((s * 1e3) as u64));
+    let s = |q: f64| times.value_at_quantile(q) as f64 / 1e3;
+    for line in wrong.iter().take(5) {
+        eprintln!("wrong: {line}");
+    }
+    let most_s = times.max() as f64 / 1e3;
+    // With faults a controller may be away for longer: it is named, and not waited for.
+    let soon = options.faults || most_s <= IN_FORCE_S;
+    Ok(json!({
+        "ok": wrong.is_empty() && soon && times.len() >= options.days,
+        "experiment": "configuration", "seed": seed, "days": options.days,
+        "nodes": options.nodes, "faults": options.faults, "changes": times.len(),
+        "in_force_s": {"p50": s(0.5), "p99": s(0.99), "most": most_s},
+        "within_11_s": times.count_between(0, (IN_FORCE_S * 1e3) as u64) as f64
+            / times.len().max(1) as f64,
+        "wrong": wrong.len(),
+    }))
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 //! and the figures; the exit code is 1 when a check fails.
 
 mod ageing;
+mod configuration;
 mod days;
 mod doors;
 mod explain;
@@ -52,6 +53,8 @@
     Days(days::Options),
     /// A night in simulated time: a flood of urgent work, and what waits behind it
     Ageing(ageing::Options),
+    /// How soon changes of quotas are in force everywhere, in simulated time
+    Configuration(configuration::Options),
     /// Hostile, mistaken and slow clients at the operators' door
     Doors,
     /// A long list of jobs in a small controller
@@ -117,6 +120,7 @@
         Experiment::Explain => explain::run(&lab),
         Experiment::Days(options) => days::run(arguments.seed, quick, &options),
         Experiment::Ageing(options) => ageing::run(arguments.seed, quick, &options),
+        Experiment::Configuration(options) => configuration::run(arguments.seed, &options),
         Experiment::Doors => doors::run(&lab),
         Experiment::List { open } => list::run(&lab, quick, open),
         Experiment::Scale(options) => scale::run(&lab, quick, &options),
--- a/crates/operators/src/messages.rs
+++ b/crates/operators/src/messages.rs
@@ -2,6 +2,8 @@
 
 use crate::directives::Directive;
 use crate::reasons::Reason;
+use beamhinge_configuration::stored::Author;
+use beamhinge_configuration::{Quota, Version};
 use beamhinge_vocab::job::{JobKind, JobSpec, Urgency};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -521,6 +523,55 @@
     pub directives: Vec<Directive>,
 }
 
+/// A team and its quota as they count at the controller that answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaRow {
+    pub team: String,
+    #[serde(flatten)]
+    pub quota: Quota,
+    /// Its accepted jobs run on; new ones are refused.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub removed: bool,
+}
+
+/// A controller that does not serve by the newest version, or did not say so yet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BehindRow {
+    pub label: String,
+    /// None: it is away, cut off, or does not know of configuration. It may go on serving
+    /// its workers by what it has until its serving deadline.
+    pub version: Option<Version>,
+}
+
+/// `GET /v1/configuration`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationView {
+    /// false: changes are not turned on here (`[configuration] on`).
+    pub on: bool,
+    pub version: Version,
+    /// Who made it, when and why; absent where nothing was ever changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub author: Option<Author>,
+    /// Since when every controller serves by it, milliseconds of the time of day; absent:
+    /// not yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub in_force_everywhere_since_ms: Option<u64>,
+    pub behind: Vec<BehindRow>,
+    /// Fields of a newer program: kept, and not understood here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unknown_fields: Vec<String>,
+    pub teams: Vec<QuotaRow>,
+}
+
+/// The answer to `POST /v1/configuration`: made, and the version that it is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationMade {
+    pub version: Version,
+    /// What its author should know, though it was made.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warning: Option<String>,
+}
+
 /// What only the holder can answer, as it travels between controllers.
 ///
 /// New kinds are added at the end: a controller that does not know one closes
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// CPUs that a team's tasks use.
+    pub fn used(&self, team: &str) -> f64 {
+        self.teams.get(team).copied().unwrap_or(0.0)
+    }
+
     /// Jobs with a task on a machine, and one of these.
     pub fn jobs(&self) -> impl Iterator<Item = (&str, &str)> {
         self.jobs
--- a/crates/sim/src/waiting.rs
+++ b/crates/sim/src/waiting.rs
@@ -59,7 +59,10 @@
             }
             let owner = plan.body["owner"].as_str().unwrap_or("");
             let team = self.settings[0].params.teams.iter().find(|t| t.name == owner);
-            let most = team.map_or(0.0, |t| t.cpus_max);
+            let most = match self.limits.is_changed() {
+                true => self.limits.now(owner),
+                false => team.map_or(0.0, |t| t.cpus_max),
+            };
             let cpus = amount(plan, "vcpus");
             if most > 0.0 && used.get(owner).unwrap_or(&0.0) + cpus > most + 1e-6 {
                 continue;
--- a/crates/vocab/src/settings.rs
+++ b/crates/vocab/src/settings.rs
@@ -133,6 +133,9 @@
     pub door: Option<OperatorsDoor>,
     /// `[ageing]`: how waiting jobs rise.
     pub ageing: Ageing,
+    /// `[configuration] on`: whether operators change teams and quotas while the
+    /// service runs. The same for all controllers.
+    pub configuration: bool,
 }
 
 /// How waiting jobs rise; see `docs/ageing.md`.
@@ -199,6 +202,7 @@
             block_lease_s: 60.0,
             door: None,
             ageing: Ageing::default(),
+            configuration: false,
         }
     }
 }
@@ -320,6 +324,14 @@
     }
 }
 
+fn yes_or_no(field: &str, value: &str) -> Result<bool, SettingsError> {
+    match value.trim() {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        other => Err(bad(field, format!("'{other}' is not yes or no"))),
+    }
+}
+
 impl Operator {
     pub fn load(path: &Path) -> Result<Operator, SettingsError> {
         let name = path.display().to_string();
@@ -371,15 +383,8 @@
                     ("operators", "waiting") => door.waiting = range(1.0, 4_096.0)? as usize,
                     ("operators", "rps") => door.rps = range(1.0, 10_000.0)?,
                     ("operators", "clock_s") => door.clock_s = range(1.0, 600.0)?,
-                    ("ageing", "on") => {
-                        op.ageing.on = match value.trim() {
-                            "yes" => true,
-                            "no" => false,
-                            other => {
-                                return Err(bad(&field, format!("'{other}' is not yes or no")))
-                            }
-                        }
-                    }
+                    ("ageing", "on") => op.ageing.on = yes_or_no(&field, value)?,
+                    ("configuration", "on") => op.configuration = yes_or_no(&field, value)?,
                     ("ageing", "best_effort_s") => op.ageing.best_effort_s = range(0.0, 1e6)?,
                     ("ageing", "standard_s") => op.ageing.standard_s = range(0.0, 1e6)?,
                     ("ageing", "ceiling") => {
