--- /dev/null
+++ b/crates/controller/src/node/requests.rs
@@ -0,0 +1,233 @@
+//! Requests of users and workers.
+
+use super::Node;
+use crate::faults::broken;
+use crate::intake;
+use crate::jobs::JobSpec;
+use crate::placement::{Order, Report};
+use beamhinge_vocab::http::{Method, Request};
+use beamhinge_vocab::messages::Out;
+use beamhinge_vocab::types::{JobId, MachineId, RequestId, Time, Token, WallMs};
+use beamhinge_vocab::wire;
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct WorkerAnswer {
+    baton: u64,
+    orders: Vec<Order>,
+}
+
+#[derive(Serialize)]
+struct Elsewhere<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    foreman: Option<&'a str>,
+}
+
+/// How long a machine that was sent to the holder must not come back.
+const DEAF_S: f64 = 12.0;
+
+/// A route's name on the metrics page.
+fn users_route(method: Method, path: &str) -> &'static str {
+    match (method, path) {
+        (_, "/up") => "up",
+        (_, "/hello") => "report",
+        (Method::Post, "/api/jobs") => "submit",
+        (Method::Get, _) => "poll",
+        (Method::Post, p) if p.ends_with("/cancel") => "cancel",
+        _ => "other",
+    }
+}
+
+fn refuse(out: &mut Vec<Out>, to: RequestId, status: u16, why: &str) {
+    let retry_after = (status == 503).then_some(1);
+    out.push(Out::Answer { to, status, retry_after, body: wire::problem(why) });
+}
+
+impl Node {
+    pub(super) fn take_request(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        id: RequestId,
+        req: Request,
+        out: &mut Vec<Out>,
+    ) {
+        let path = req.path.split('?').next().unwrap_or("");
+        let method = req.method;
+        let _span = tracing::debug_span!("request", route = users_route(method, path)).entered();
+        let wrong = |out: &mut Vec<Out>| refuse(out, id, 405, "method not allowed");
+        self.metrics.asked(now, id, users_route(method, path));
+        match path {
+            "/up" if method == Method::Get => self.up(now, id, out),
+            "/hello" if method == Method::Post => self.hello(now, id, &req.body, out),
+            "/api/jobs" if method == Method::Post => self.submit(now, wall, id, &req.body, out),
+            "/up" | "/hello" | "/api/jobs" => wrong(out),
+            _ => match path.strip_prefix("/api/jobs/") {
+                None => refuse(out, id, 404, "no such path"),
+                Some(rest) => match (rest.strip_suffix("/cancel"), method) {
+                    (Some(job), Method::Post) => match JobId::parse(job) {
+                        Some(job) => self.intake.cancel(now, id, job, &self.book, out),
+                        None => refuse(out, id, 404, "no such job"),
+                    },
+                    (None, Method::Get) => match JobId::parse(rest) {
+                        Some(job) => self.intake.poll(now, id, job, &self.book, out),
+                        None => refuse(out, id, 404, "no such job"),
+                    },
+                    _ if rest.contains('/') && !rest.ends_with("/cancel") => {
+                        refuse(out, id, 404, "no such path")
+                    }
+                    _ => wrong(out),
+                },
+            },
+        }
+        self.run(now, wall, out);
+    }
+
+    pub(super) fn up(&mut self, now: Time, id: RequestId, out: &mut Vec<Out>) {
+        // In an outage of the state service all nodes are equally poor, and
+        // stepping aside would only prolong it for the users afterwards. But
+        // where others still reach it, they serve better than we can.
+        let age = self.ledger_age(now);
+        if self.drained() && self.peers.successor(now) {
+            refuse(out, id, 503, "operators have drained this controller");
+        } else if self.stall.stuck_s(now).is_some() && self.peers.others_reach_ledger(now) {
+            refuse(out, id, 503, "this controller is stuck");
+        } else if age > 2.5 && (self.peers.others_reach_ledger(now) || self.cut_off(now))
+            || !self.book.loaded() && now.since(self.started) < 5.0
+        {
+            refuse(out, id, 503, "the state service cannot be reached from here");
+        } else {
+            out.push(Out::Answer {
+                to: id,
+                status: 200,
+                retry_after: None,
+                body: wire::encode(&Elsewhere { foreman: None }),
+            });
+        }
+    }
+
+    /// Neither the state service nor any peer is heard from here: it is more likely
+    /// that we are cut off than that all of them are gone. Users who stay at such a
+    /// controller are told nothing for as long as that lasts. A service that refuses is
+    /// heard: in an outage in which connections between controllers were refused as
+    /// well, all said so of themselves, and the load balancer was left with none, for
+    /// longer than either lasted.
+    pub(super) fn cut_off(&self, now: Time) -> bool {
+        let refused = self.ledger.last_answer().is_some_and(|t| now.since(t) < 2.5);
+        let refused = refused && !broken!(self.faults, refused_is_cut);
+        !refused
+            && !self.settings.members.is_empty()
+            && now.since(self.started) > 5.0
+            && self.peers.silent_s(now).is_none_or(|s| s > 2.5)
+    }
+
+    /// Operators want this controller out of the way.
+    pub(super) fn drained(&self) -> bool {
+        self.directives.standing().node_drained(&self.settings.label)
+    }
+
+    pub(super) fn ledger_age(&self, now: Time) -> f64 {
+        self.ledger.last_ok().map_or(1e6, |t| now.since(t))
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        id: RequestId,
+        body: &[u8],
+        out: &mut Vec<Out>,
+    ) {
+        if body.len() > wire::BODY_LIMIT
+            || wire::decode::<ciborium::Value>(body)
+                .is_ok_and(|v| wire::json_len(&v) > wire::BODY_LIMIT)
+        {
+            return refuse(out, id, 413, "the body is too large");
+        }
+        match intake::read_submission(body, wall) {
+            Err(why) => refuse(out, id, 400, why),
+            Ok((job, spec)) => {
+                let verdict = self.judge(&spec);
+                self.intake.submit(now, id, (job, spec), verdict, &self.book, out);
+            }
+        }
+    }
+
+    /// Whether a job can ever run here, by the teams that count now. One who does not
+    /// know them yet does not decide: a team may have been added.
+    pub(super) fn judge(&self, spec: &JobSpec) -> intake::Verdict {
+        if !self.configuration.ready() {
+            return intake::Verdict::Undecided;
+        }
+        let team = self.configuration.effective().team(&spec.team);
+        intake::judge(spec, team, &self.settings, self.fleet.shapes())
+    }
+
+    pub(super) fn hello(&mut self, now: Time, id: RequestId, body: &[u8], out: &mut Vec<Out>) {
+        let Ok(report) = wire::decode::<Report>(body) else {
+            return refuse(out, id, 400, "the report has an unknown form");
+        };
+        // Guard 1: a worker that has seen a higher token answers to somebody
+        // else; we are no longer entitled.
+        let standing = self.leader.claims(now, report.baton);
+        self.on_standing(now, standing);
+        if self.leader.token().is_some_and(|t| report.baton > t.0) {
+            return refuse(out, id, 503, "a token that was never given");
+        }
+        let entitled = self.entitled(now);
+        match (&mut self.place, entitled) {
+            (Some(place), true) => {
+                let token = place.token();
+                let orders = place.report(now, &report, self.fleet.shapes(), &self.book);
+                if !orders.is_empty() {
+                    tracing::debug!("orders to {}: {orders:?}", report.host);
+                }
+                let body = wire::encode(&WorkerAnswer { baton: token.0, orders });
+                out.push(Out::Answer { to: id, status: 200, retry_after: None, body });
+            }
+            // A holder out of touch names nobody: it may still be the holder.
+            (Some(_), false) => refuse(out, id, 503, "out of touch with the state service"),
+            (None, _) => {
+                let machine = MachineId::parse(&report.host);
+                let deaf = machine.is_some_and(|m| self.visitors.came(now, m, DEAF_S));
+                let seen = Token(report.baton);
+                machine.into_iter().for_each(|m| self.holder_detector.reported_here(now, m, seen));
+                let holder = self.peers.holder(now).or(self.leader.other_leader());
+                // Sent to the holder a moment ago and back again: it is not
+                // answered there, and would wait for its time-out once more. Nor is
+                // it named where nothing is heard of it any more.
+                let foreman = holder.filter(|_| !deaf && !self.holder_detector.is_silent(now));
+                if let (Some(m), Some(_)) = (machine, foreman) {
+                    self.visitors.sent_on(m);
+                }
+                out.push(Out::Answer {
+                    to: id,
+                    status: 421,
+                    retry_after: None,
+                    body: wire::encode(&Elsewhere { foreman }),
+                });
+            }
+        }
+    }
+
+    /// Guard 4: H after the last exchange that showed us both the jobs and our
+    /// hold on the block, we stop answering workers.
+    pub(super) fn entitled(&self, now: Time) -> bool {
+        let limit = self.settings.serving_deadline_s();
+        if broken!(self.faults, no_h) {
+            return self.place.is_some();
+        }
+        if broken!(self.faults, h_by_hold) {
+            return self.place.is_some() && now.since(self.leader.checked()) < limit;
+        }
+        let seen = self.book.fresh().is_some_and(|jobs| now.since(jobs) < limit);
+        self.place.is_some() && seen && now.since(self.leader.checked()) < limit
+    }
+
+    /// Sure enough to hold the block to rent and give back: confirmed within the
+    /// time in which nobody else can have taken it unnoticed for long.
+    pub(super) fn acting(&self, now: Time) -> bool {
+        self.place.is_some()
+            && now.since(self.leader.checked()) < self.settings.leader_lease_s() + 2.0
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node/timers.rs
@@ -0,0 +1,307 @@
+//! What is looked at as time passes: heartbeats, stalls, the lead, silent machines.
+
+use super::Node;
+use crate::fleet::WORD_S;
+use crate::peers;
+use crate::placement::Order;
+use beamhinge_standby::{turn_after, Observer, HEARTBEAT_S};
+use beamhinge_suspicion::Work;
+use beamhinge_vocab::http::Method;
+use beamhinge_vocab::messages::{Dest, Out};
+use beamhinge_vocab::peers::{encode, Frame};
+use beamhinge_vocab::types::{CallId, MachineId, Time, Token, WallMs};
+use beamhinge_vocab::wire;
+use serde::Serialize;
+use std::net::SocketAddrV4;
+
+#[derive(Serialize)]
+struct Direct {
+    baton: u64,
+    tenure: u64,
+    orders: Vec<Order>,
+}
+
+/// Silent machines that are asked at the same time: each that is cut off holds a socket
+/// until its time is up.
+const MOST_ASKED: usize = 16;
+
+/// How long until the same one is asked again, seconds.
+const ASK_AGAIN_S: f64 = 3.0;
+
+impl Node {
+    pub(super) fn take_tick(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
+        if now.since(self.heartbeat_sent) >= HEARTBEAT_S {
+            self.heartbeat_sent = now;
+            self.send_heartbeat(out);
+        }
+        // Every tick: half a second more would be a part of the time of an urgent start.
+        self.consider_taking_early(now);
+        if now.since(self.peers.sent) >= 1.0 {
+            self.peers.sent = now;
+            let age = self.ledger_age(now);
+            let pulse = Frame::Pulse {
+                label: self.settings.label.clone(),
+                ledger_age_ms: (age * 1e3) as u64,
+                holder: self.place.is_some(),
+            };
+            out.push(Out::Tell { to: None, frame: encode(&pulse) });
+            // Only where it matters: the version before this one does not know
+            // the frame, and breaks the link at it.
+            if self.directives.standing().any_node() {
+                let ready = Frame::Ready {
+                    label: self.settings.label.clone(),
+                    ready: self.book.loaded() && age < 3.0,
+                    drained: self.drained(),
+                };
+                out.push(Out::Tell { to: None, frame: encode(&ready) });
+            }
+            if let Some(place) = self.place.as_ref().filter(|p| p.loaded()) {
+                out.push(Out::Tell {
+                    to: None,
+                    frame: encode(&peers::progress(place.all_counts())),
+                });
+            }
+        }
+        if now.since(self.told_visitors) >= 0.5 {
+            self.told_visitors = now;
+            self.tell_visitors(now, out);
+        }
+        if now.since(self.looked) >= 0.5 {
+            self.looked = now;
+            self.elsewhere.forget(now, WORD_S);
+            self.consider_stall(now, out);
+            self.consider_stepping_back(now);
+            self.ask_silent(now, out);
+            self.obey_drain(now);
+            if now.since(self.measured) >= 1.0 {
+                self.measured = now;
+                self.measure(now, wall);
+            }
+        }
+        self.nudge(now, out);
+        self.run(now, wall, out);
+    }
+
+    /// Tells our token to our peers: they watch over us by it. And a former holder that
+    /// is cut off from the state service alone would answer its workers for seconds
+    /// more; this ends its term.
+    pub(super) fn send_heartbeat(&self, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        let label = self.settings.label.clone();
+        let holds = Frame::Holds { label, token: place.token().0 };
+        out.push(Out::Tell { to: None, frame: encode(&holds) });
+    }
+
+    /// Figures that are of a moment, taken each second.
+    pub(super) fn measure(&mut self, now: Time, wall: WallMs) {
+        if self.desk.is_none() {
+            return;
+        }
+        if let Some(place) = self.place.as_mut().filter(|p| p.loaded()) {
+            self.metrics.placed(&place.chronicle.take_waits());
+            let totals = place.totals(now, wall, self.fleet.shapes());
+            self.metrics.waiting(totals.oldest_wait_s);
+        }
+    }
+
+    /// A drained controller hands its lead to one that is ready, and takes none
+    /// while there is such a one. Without one it goes on: that somebody leads
+    /// matters more.
+    pub(super) fn obey_drain(&mut self, now: Time) {
+        if !self.drained() || !self.peers.successor(now) {
+            return;
+        }
+        if self.place.is_some() {
+            self.leader.hand_over(now, &mut self.ledger);
+        } else {
+            self.leader.hold_back(now);
+        }
+    }
+
+    /// Tells the holder who comes here instead: they live, whatever it thinks.
+    pub(super) fn tell_visitors(&mut self, now: Time, out: &mut Vec<Out>) {
+        let machines = self.visitors.lately(now, WORD_S);
+        if machines.is_empty() || self.place.is_some() {
+            return;
+        }
+        let Some(holder) = self.peers.holder(now).or(self.leader.other_leader()) else { return };
+        let machines = machines.iter().take(Frame::MOST_NAMES).map(|m| m.to_string()).collect();
+        let hears = Frame::Hears { label: self.settings.label.clone(), machines };
+        out.push(Out::Tell { to: Some(holder.to_string()), frame: encode(&hears) });
+    }
+
+    /// A holder that reaches the state service and yet commits nothing while
+    /// there is work is stuck, however healthy it looks: another takes over, and
+    /// begins with small steps.
+    pub(super) fn consider_stall(&mut self, now: Time, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        let reached = self.ledger_age(now) < 2.5;
+        let work = Work { waiting: place.has_work(), moved: place.moved(), reached };
+        if !self.stall.look(now, work) {
+            return;
+        }
+        tracing::error!(
+            "stuck: the state service answers, there is work, and nothing was committed for {:.0} s",
+            self.stall.stuck_s(now).unwrap_or_default()
+        );
+        self.stuck.insert(self.settings.label.clone(), now);
+        if self.settings.members.is_empty() || !self.peers.others_reach_ledger(now) {
+            if let Some(place) = &mut self.place {
+                place.begin_small();
+            }
+            return;
+        }
+        self.stall.handed_over();
+        let stuck = Frame::Stuck { label: self.settings.label.clone() };
+        out.push(Out::Tell { to: None, frame: encode(&stuck) });
+        let standing = self.leader.step_back(now, &mut self.ledger);
+        self.on_standing(now, standing);
+    }
+
+    /// A leader that cannot hear most of its workers would watch their leases
+    /// run out. If it is the one cut off, another controller hears them.
+    pub(super) fn consider_stepping_back(&mut self, now: Time) {
+        let Some(place) = self.place.as_ref().filter(|p| p.loaded()) else { return };
+        let w = &self.settings.params.workers;
+        if self.settings.members.is_empty() || now.since(place.took()) < w.report_s * 3.0 + 3.0 {
+            return;
+        }
+        // Nothing is concluded from our own absence.
+        if self.presence.back_for(now).is_some_and(|s| s < w.report_s * 2.5 + 2.0) {
+            return;
+        }
+        // A peer hears more than we do: the lead is of more use there, at once.
+        let link = self.fleet.link();
+        let lately = self.stepped_back.is_some_and(|at| now.since(at) < w.lease_s);
+        if link.better_elsewhere() && !lately && self.peers.others_reach_ledger(now) {
+            self.stepped_back = Some(now);
+            tracing::warn!(
+                "{} machines are heard here and {} only by peers; stepping back",
+                link.heard,
+                link.elsewhere
+            );
+            let standing = self.leader.step_back(now, &mut self.ledger);
+            return self.on_standing(now, standing);
+        }
+        // Machines that are gone are silent to every controller. Who has stepped
+        // back already, and leads again, stays until silence is proof; else the
+        // lead goes round for ever and nothing is ever proven.
+        let proof_s = self.settings.serving_deadline_s() + w.lease_s;
+        if self.stepped_back.is_some_and(|at| now.since(at) < proof_s * 3.0 + 30.0) {
+            return;
+        }
+        let (heard, silent) = place.hearing(now);
+        if silent >= 2 && silent > heard * 2 {
+            self.stepped_back = Some(now);
+            // Nobody is known to hear more. Whoever does takes the lead at once;
+            // until somebody has, we go on: a holder that stood back for nobody
+            // left a whole fleet to its leases.
+            tracing::info!("most workers are silent here; the lead is free for others");
+            self.leader.hand_over(now, &mut self.ledger);
+        }
+    }
+
+    /// The holder's heartbeats stay away and its workers come here: it is gone, and
+    /// whose turn it is takes the lead before the lease has run out.
+    pub(super) fn consider_taking_early(&mut self, now: Time) {
+        if self.place.is_some() || !self.holder_detector.is_silent(now) || self.drained() {
+            return;
+        }
+        let members = self.settings.members.iter().map(|m| m.label.as_str());
+        let holder = self.leader.other_leader().unwrap_or("").to_string();
+        let own = Observer {
+            ledger_age_s: self.ledger_age(now),
+            // What changed since is read after the take, before anything is placed.
+            warm: self.book.loaded(),
+            back_for_s: self.presence.back_for(now),
+            turn: turn_after(&holder, &self.settings.label, members),
+        };
+        if let Some(gone) = self.holder_detector.suspected(now, own).filter(|gone| *gone == holder)
+        {
+            tracing::info!("{gone} is not heard and its workers come here: taking the lead");
+            self.leader.presume_gone(gone);
+            self.leader.tick(now, &mut self.ledger);
+        }
+    }
+
+    /// After a takeover, workers that still report elsewhere learn the new
+    /// token directly: a report to us follows at once.
+    pub(super) fn nudge(&mut self, now: Time, out: &mut Vec<Out>) {
+        let Some(place) = &self.place else { return };
+        if now.since(place.took()) > 60.0
+            || now.since(place.took()) < self.settings.params.workers.report_s * 1.5
+        {
+            return;
+        }
+        let token = place.token();
+        let targets: Vec<(MachineId, SocketAddrV4)> = self
+            .fleet
+            .endpoints()
+            .filter(|(id, _)| place.machine(*id).and_then(|m| m.heard).is_none())
+            .filter(|(id, _)| self.nudged.get(id).is_none_or(|t| now.since(*t) > 3.0))
+            .take(8)
+            .collect();
+        for (machine, endpoint) in targets {
+            self.nudged.insert(machine, now);
+            // The tenure is unknown: any number will do, since even a refusal
+            // for the tenure is answered after the token was compared, and
+            // there is nothing to execute.
+            self.call_worker(machine, endpoint, token, 1, Vec::new(), out);
+        }
+    }
+
+    pub(super) fn call_worker(
+        &mut self,
+        machine: MachineId,
+        endpoint: SocketAddrV4,
+        token: Token,
+        tenure: u64,
+        orders: Vec<Order>,
+        out: &mut Vec<Out>,
+    ) {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.nudges.insert(id, machine);
+        out.push(Out::Call {
+            id,
+            dest: Dest::Worker(endpoint),
+            method: Method::Post,
+            path: "/do".into(),
+            body: wire::encode(&Direct { baton: token.0, tenure, orders }),
+            timeout_s: 2.0,
+        });
+    }
+
+    /// Calls workers that have something to stop.
+    pub(super) fn stop_tasks(&mut self, now: Time, out: &mut Vec<Out>) {
+        // Guard 4: only while we are entitled to command.
+        if !self.entitled(now) {
+            return;
+        }
+        let Some(place) = &mut self.place else { return };
+        let token = place.token();
+        for (machine, endpoint, tenure, orders) in place.take_stops() {
+            self.call_worker(machine, endpoint, token, tenure, orders, out);
+        }
+    }
+
+    /// Asks machines that fell silent, a few at a time: those that reach no controller
+    /// may still be reached, and say what has ended there.
+    pub(super) fn ask_silent(&mut self, now: Time, out: &mut Vec<Out>) {
+        // Guard 4: only while we are entitled to command.
+        if !self.entitled(now) || self.nudges.len() >= MOST_ASKED {
+            return;
+        }
+        let Some(place) = &self.place else { return };
+        let (token, room) = (place.token(), MOST_ASKED - self.nudges.len());
+        let asked =
+            |id: &MachineId| self.asked.get(id).is_some_and(|t| now.since(*t) < ASK_AGAIN_S);
+        let silent = place.silent_with_tasks(now).filter(|(id, ..)| !asked(id));
+        let silent: Vec<_> = silent.take(room).collect();
+        self.asked.retain(|_, t| now.since(*t) < ASK_AGAIN_S);
+        for (machine, endpoint, tenure, orders) in silent {
+            self.asked.insert(machine, now);
+            self.call_worker(machine, endpoint, token, tenure, orders, out);
+        }
+    }
+}
