--- a/crates/standins/src/worker_pool.rs
+++ b/crates/standins/src/worker_pool.rs
@@ -236,3 +236,6 @@
 fn job_of(piece: &str) -> &str {
     piece.split('/').next().unwrap_or("")
 }
+
+#[cfg(test)]
+mod tests;
