--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -15,7 +15,9 @@
 use beamhinge_limits::{Course, Next};
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
-use beamhinge_suspicion::{Bounds, Finding, Group, Hearsay, Link, Presence, Seen, Suspicion};
+use beamhinge_suspicion::{
+    Bounds, Finding, Group, Link, PeerObservations, Presence, Seen, Suspicion,
+};
 use beamhinge_vocab::http::Method;
 use beamhinge_vocab::messages::{Dest, Out};
 use beamhinge_vocab::settings::{Operator, Settings};
@@ -159,7 +161,7 @@
 pub struct Senses<'a> {
     pub presence: &'a Presence,
     /// What peers hear.
-    pub elsewhere: &'a Hearsay,
+    pub elsewhere: &'a PeerObservations,
     /// The state service confirmed lately that we hold the block.
     pub acting: bool,
 }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -18,7 +18,7 @@
 use crate::placement::Placement;
 use beamhinge_operators::auth::{Guard, Key};
 use beamhinge_standby::FailureDetector;
-use beamhinge_suspicion::{Hearsay, Presence, Stall, Visitors};
+use beamhinge_suspicion::{PeerObservations, Presence, Stall, Visitors};
 use beamhinge_vocab::http::Request;
 use beamhinge_vocab::messages::{Out, Service};
 use beamhinge_vocab::peers::{encode, Frame};
@@ -54,7 +54,7 @@
     visitors: Visitors,
     told_visitors: Time,
     /// What peers say they hear, for when we hold the block.
-    elsewhere: Hearsay,
+    elsewhere: PeerObservations,
     /// Watching over the holder, while we are none.
     holder_detector: FailureDetector,
     /// When we, as the holder, last told our token to our peers.
@@ -112,7 +112,7 @@
             presence: Presence::new(1.0_f64.max(settings.params.workers.report_s * 0.4)),
             visitors: Visitors::default(),
             told_visitors: Time::default(),
-            elsewhere: Hearsay::default(),
+            elsewhere: PeerObservations::default(),
             holder_detector: FailureDetector::default(),
             heartbeat_sent: Time::default(),
             stall: Stall::new(stuck_after_s(&settings)),
--- a/crates/controller/src/node/replies.rs
+++ b/crates/controller/src/node/replies.rs
@@ -9,7 +9,7 @@
 use crate::placement::{Placement, Report, Verdict};
 use beamhinge_ageing::Policy;
 use beamhinge_operators::messages::What;
-use beamhinge_suspicion::Hearsay;
+use beamhinge_suspicion::PeerObservations;
 use beamhinge_vocab::messages::{Counts, Out};
 use beamhinge_vocab::peers::Frame;
 use beamhinge_vocab::types::{CallId, JobId, MachineId, Time, Token, WallMs};
@@ -177,7 +177,7 @@
                     }
                 }
                 self.fleet.begin_term(now, token, &self.operator, &self.settings);
-                self.elsewhere = Hearsay::default();
+                self.elsewhere = PeerObservations::default();
                 let long = stuck_after_s(&self.settings) * 6.0;
                 let stuck = self.stuck.values().any(|at| now.since(*at) < long);
                 if let (Some(place), true) = (&mut self.place, stuck) {
--- a/crates/suspicion/src/lib.rs
+++ b/crates/suspicion/src/lib.rs
@@ -11,16 +11,16 @@
 
 mod blame;
 mod groups;
-mod hearsay;
 mod heed;
+mod peer_observations;
 mod presence;
 mod rhythm;
 mod stall;
 
 pub use blame::{Blame, Verdict};
 pub use groups::{Bounds, Finding, Group, Link, Look, Seen, Suspicion};
-pub use hearsay::{Hearsay, Visitors};
 pub use heed::Heed;
+pub use peer_observations::{PeerObservations, Visitors};
 pub use presence::Presence;
 pub use rhythm::Rhythm;
 pub use stall::{Stall, Work};
--- a/crates/suspicion/src/hearsay.rs
+++ b/crates/suspicion/src/peer_observations.rs
@@ -46,11 +46,11 @@
 
 /// At the holder: who was heard by a peer, and when.
 #[derive(Debug, Default)]
-pub struct Hearsay {
+pub struct PeerObservations {
     heard: BTreeMap<MachineId, Time>,
 }
 
-impl Hearsay {
+impl PeerObservations {
     /// A peer says that it hears these.
     pub fn told(&mut self, now: Time, machines: impl Iterator<Item = MachineId>) {
         for id in machines.take(MOST) {
@@ -101,7 +101,7 @@
         }
         let all = v.lately(at(31.0), 6.0);
         assert_eq!(all.len(), MOST);
-        let mut e = Hearsay::default();
+        let mut e = PeerObservations::default();
         e.told(at(31.0), all.iter().copied());
         e.told(at(31.0), (0..20_000).map(id));
         assert_eq!(e.len(), MOST);
