--- a/crates/controller/src/chronicle.rs
+++ b/crates/controller/src/event_log.rs
@@ -9,7 +9,7 @@
 const MOST: usize = 1_024;
 
 #[derive(Default)]
-pub struct Chronicle {
+pub struct EventLog {
     on: bool,
     wall: WallMs,
     next: u64,
@@ -40,9 +40,9 @@
 pub const KIND_NAMES: [&str; KINDS] =
     ["placed", "stopped", "ended", "rented", "refused", "returned", "set_aside", "done", "took"];
 
-impl Chronicle {
-    pub fn new(on: bool) -> Chronicle {
-        Chronicle { on, ..Chronicle::default() }
+impl EventLog {
+    pub fn new(on: bool) -> EventLog {
+        EventLog { on, ..EventLog::default() }
     }
 
     pub fn at(&mut self, wall: WallMs) {
--- a/crates/controller/src/chronicle/tests.rs
+++ b/crates/controller/src/event_log/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn what_was_forgotten_is_counted_and_told() {
-    let mut c = Chronicle::new(true);
+    let mut c = EventLog::new(true);
     for i in 0..MOST as u64 + 10 {
         c.note(|| What::Took { token: i });
     }
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -559,7 +559,7 @@
                             r.row.spot
                         );
                         if let Some(place) = place {
-                            place.chronicle.note(|| What::Rented {
+                            place.event_log.note(|| What::Rented {
                                 shape: r.row.shape.clone(),
                                 zone: r.row.zone.clone(),
                                 spot: r.row.spot,
@@ -610,7 +610,7 @@
                                 r.row.spot
                             );
                             if let Some(place) = place {
-                                place.chronicle.note(|| What::Refused {
+                                place.event_log.note(|| What::Refused {
                                     shape: r.row.shape.clone(),
                                     zone: r.row.zone.clone(),
                                     spot: r.row.spot,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,10 +6,10 @@
 
 pub mod blocks;
 pub mod calls;
-pub mod chronicle;
 pub mod configuration;
 pub mod desk;
 pub mod directives;
+pub mod event_log;
 pub mod faults;
 pub mod fleet;
 pub mod intake;
--- a/crates/controller/src/node/operators.rs
+++ b/crates/controller/src/node/operators.rs
@@ -490,7 +490,7 @@
                 let own = place.token().0;
                 // Another holder's serials say nothing here: begin anew.
                 let after = if *token == own { *after } else { 0 };
-                let (decisions, missed) = place.chronicle.after(after, *limit);
+                let (decisions, missed) = place.event_log.after(after, *limit);
                 encoded(&Decisions { token: own, decisions, missed })
             }
         }
@@ -548,7 +548,7 @@
                 ("room_start_seconds_p99", room.took_s(0.99)),
                 ("room_lost_cpu_seconds", room.lost_cpu_s),
             ]);
-            counters = place.chronicle.counts().collect();
+            counters = place.event_log.counts().collect();
             counters.extend([
                 ("stopped_for_others", room.stops),
                 ("places_asked", room.asked),
--- a/crates/controller/src/node/replies.rs
+++ b/crates/controller/src/node/replies.rs
@@ -2,7 +2,7 @@
 
 use super::{follower_share, holder_share, stuck_after_s, Node, HOLDER_ACCEPTS};
 use crate::calls::Tag;
-use crate::chronicle::Chronicle;
+use crate::event_log::EventLog;
 use crate::intake::Context;
 use crate::leader::Standing;
 use crate::ledger::Reply;
@@ -155,16 +155,16 @@
                 self.ledger.set_share(follower_share(&self.settings), 1.0);
             }
             Standing::Took { token } => {
-                let mut chronicle = Chronicle::new(self.desk.is_some());
-                chronicle.at(self.wall);
-                chronicle.note(|| What::Took { token: token.0 });
+                let mut event_log = EventLog::new(self.desk.is_some());
+                event_log.at(self.wall);
+                event_log.note(|| What::Took { token: token.0 });
                 // What stood when the lead was taken must be known before
                 // anything is placed: a drained machine gets nothing new.
                 self.directives.want_refresh();
                 let standing = self.directives.standing().clone();
                 self.metrics.took(now);
                 let ageing = Policy::new(self.operator.ageing);
-                let place = Placement::new(&self.settings, token, standing, chronicle, ageing, now);
+                let place = Placement::new(&self.settings, token, standing, event_log, ageing, now);
                 self.place = Some(place);
                 if let Some(place) = &mut self.place {
                     place.faults = self.faults;
--- a/crates/controller/src/node/timers.rs
+++ b/crates/controller/src/node/timers.rs
@@ -98,7 +98,7 @@
             return;
         }
         if let Some(place) = self.place.as_mut().filter(|p| p.loaded()) {
-            self.metrics.placed(&place.chronicle.take_waits());
+            self.metrics.placed(&place.event_log.take_waits());
             let totals = place.totals(now, wall, self.fleet.shapes());
             self.metrics.waiting(totals.oldest_wait_s);
         }
--- a/crates/controller/src/placement/books.rs
+++ b/crates/controller/src/placement/books.rs
@@ -616,7 +616,7 @@
                 self.closing.insert(id);
             }
             tracing::debug!("{id} is done");
-            self.chronicle.note(|| What::Done { job: id.to_string() });
+            self.event_log.note(|| What::Done { job: id.to_string() });
         }
         for no in flying.dead {
             self.pages.removed(no);
--- a/crates/controller/src/placement/books/tests.rs
+++ b/crates/controller/src/placement/books/tests.rs
@@ -148,7 +148,7 @@
         &settings,
         Token(9),
         standing,
-        Chronicle::new(false),
+        EventLog::new(false),
         Policy::new(Default::default()),
         now,
     );
--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -7,9 +7,9 @@
 
 use crate::blocks::{self, PageNo, Pages, Row};
 use crate::calls::{PlaceCall, Tag};
-use crate::chronicle::Chronicle;
 use crate::configuration;
 use crate::directives::Standing;
+use crate::event_log::EventLog;
 use crate::faults::{broken, Faults};
 use crate::jobs::{self, JobBook, JobKind, JobSpec, JobState, Urgency};
 use crate::leader::BLOCK;
@@ -502,7 +502,7 @@
     /// Some team uses more than a limit that was lowered.
     above_limits: bool,
     standing: Rc<Standing>,
-    pub chronicle: Chronicle,
+    pub event_log: EventLog,
     team_names: Vec<String>,
     /// class -> run time over estimate
     runs: BTreeMap<String, f64>,
@@ -513,7 +513,7 @@
         settings: &Settings,
         token: Token,
         standing: Rc<Standing>,
-        chronicle: Chronicle,
+        event_log: EventLog,
         ageing: Policy,
         now: Time,
     ) -> Placement {
@@ -574,7 +574,7 @@
             runs_until: None,
             above_limits: false,
             standing,
-            chronicle,
+            event_log,
             team_names: settings.params.teams.iter().map(|t| t.name.clone()).collect(),
             teams: settings
                 .params
@@ -665,7 +665,7 @@
 
     /// The machine goes back to the cloud.
     pub fn drain(&mut self, id: MachineId, why: &str) {
-        self.chronicle.note(|| What::Returned { machine: id.to_string(), why: why.to_string() });
+        self.event_log.note(|| What::Returned { machine: id.to_string(), why: why.to_string() });
         if let Some(m) = self.machines.get_mut(&id) {
             m.draining = true;
         }
@@ -899,7 +899,7 @@
             return;
         }
         self.drive_load(now, ledger);
-        self.chronicle.at(wall);
+        self.event_log.at(wall);
         self.in_touch = ledger.last_ok().is_some_and(|at| now.since(at) < IN_TOUCH_S);
         // Silence is a matter of seconds: looking after every report would cost
         // the whole fleet each time.
--- a/crates/controller/src/placement/plan.rs
+++ b/crates/controller/src/placement/plan.rs
@@ -463,8 +463,8 @@
         let mut entry = Entry::planned(attempt, need, team, now, ahead);
         entry.lane = round.rising;
         m.entries.insert(task, entry);
-        self.chronicle.placed(job.spec.submitted);
-        self.chronicle.note(|| What::Placed {
+        self.event_log.placed(job.spec.submitted);
+        self.event_log.note(|| What::Placed {
             task: task.to_string(),
             machine: machine.to_string(),
             ahead: ahead.is_some(),
@@ -522,7 +522,7 @@
 
     /// Stops a task that makes room, with the time it needs to save.
     pub(super) fn stop(&mut self, machine: MachineId, task: TaskId, why: &str) {
-        self.chronicle.note(|| What::Stopped {
+        self.event_log.note(|| What::Stopped {
             task: task.to_string(),
             machine: machine.to_string(),
             why: why.to_string(),
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -339,7 +339,7 @@
     }
 
     fn exited(&mut self, now: Time, id: MachineId, task: TaskId, cause: Option<&str>) {
-        self.chronicle.note(|| What::Ended {
+        self.event_log.note(|| What::Ended {
             task: task.to_string(),
             machine: id.to_string(),
             why: cause.unwrap_or("unknown").chars().take(40).collect(),
@@ -417,7 +417,7 @@
                 );
                 m.slow = true;
                 let why = format!("takes {:.1} times as long as others", m.pace.0);
-                self.chronicle.note(|| What::SetAside { machine: id.to_string(), why });
+                self.event_log.note(|| What::SetAside { machine: id.to_string(), why });
             }
         }
     }
@@ -443,7 +443,7 @@
             tracing::info!("{id} fails tasks that end well elsewhere and is set aside");
             m.sick = true;
             let why = "fails tasks that end well elsewhere".to_string();
-            self.chronicle.note(|| What::SetAside { machine: id.to_string(), why });
+            self.event_log.note(|| What::SetAside { machine: id.to_string(), why });
         }
         for id in &verdict.cleared {
             let Some(m) = self.machines.get_mut(id) else { continue };
--- a/crates/controller/src/placement/reports/tests.rs
+++ b/crates/controller/src/placement/reports/tests.rs
@@ -22,9 +22,9 @@
     let text = beamhinge_vocab::settings::SAMPLE;
     let settings = Settings::parse("t", text).expect("the sample is sound");
     let policy = Policy::new(Default::default());
-    let chronicle = Chronicle::new(false);
+    let event_log = EventLog::new(false);
     let standing = Rc::default();
-    let mut place = Placement::new(&settings, Token(9), standing, chronicle, policy, at(NOW - 1.0));
+    let mut place = Placement::new(&settings, Token(9), standing, event_log, policy, at(NOW - 1.0));
     place.sync_job(at(NOW - 1.0), job(id), &book);
     book.wrote(job(id), Stamp(7), JobState::Cancelled, Some(spec));
     (book, place)
--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -1138,7 +1138,7 @@
     fn why_returned(&self, node: usize, machine: u64) -> Option<String> {
         let place = self.nodes[node].as_ref()?.placement()?;
         let name = format!("n-{machine:06}");
-        let (decisions, _) = place.chronicle.after(0, usize::MAX);
+        let (decisions, _) = place.event_log.after(0, usize::MAX);
         decisions.into_iter().rev().find_map(|d| match d.what {
             Decided::Returned { machine, why } if machine == name => Some(why),
             _ => None,
