--- a/crates/controller/src/placement/mod.rs
+++ b/crates/controller/src/placement/mod.rs
@@ -21,7 +21,7 @@
 use beamhinge_operators::directives::Directive;
 use beamhinge_operators::messages::What;
 use beamhinge_room::{Figures, Places, Stops};
-use beamhinge_suspicion::{Blame, Heed, Rhythm};
+use beamhinge_suspicion::{Blame, Heed, ReportInterval};
 use beamhinge_vocab::messages::Counts;
 use beamhinge_vocab::settings::Settings;
 use beamhinge_vocab::types::{Attempt, JobId, MachineId, Stamp, TaskId, Time, Token, WallMs};
@@ -487,7 +487,7 @@
     /// Tasks that the books do not know: since when, how many, one of them.
     strangers: Option<(Time, usize, String)>,
     /// How long reports usually stay away.
-    rhythm: Rhythm,
+    report_interval: ReportInterval,
     /// What tests put in.
     pub faults: Faults,
     planned_at: Time,
@@ -563,7 +563,7 @@
             cleaned_at: now,
             moved: now,
             strangers: None,
-            rhythm: Rhythm::new(w.report_s),
+            report_interval: ReportInterval::new(w.report_s),
             faults: Faults::default(),
             planned_at: Time::default(),
             silence_at: Time::default(),
@@ -652,7 +652,7 @@
 
     /// Silence from which a machine is overdue, seconds.
     pub fn overdue_s(&self) -> f64 {
-        self.rhythm.overdue_s()
+        self.report_interval.overdue_s()
     }
 
     /// It reports again before it was given back.
--- a/crates/controller/src/placement/reports.rs
+++ b/crates/controller/src/placement/reports.rs
@@ -78,7 +78,7 @@
         let away = self.back_at.is_some_and(|at| now.since(at) < PATIENCE_S * 2.5);
         let gap_s = m.heard.map_or(0.0, |before| now.since(before));
         if m.heard.is_some() && !newer_tenure {
-            self.rhythm.heard(gap_s);
+            self.report_interval.heard(gap_s);
         }
         // Guard 3: the first word of a machine in our term may be of any age as long as
         // it does not carry our token. It is answered, and is no sign of life: reports
--- a/crates/suspicion/src/groups.rs
+++ b/crates/suspicion/src/groups.rs
@@ -148,7 +148,7 @@
     }
 
     /// Looks at the whole fleet. `overdue_s`: silence from which a machine is
-    /// overdue, see [`crate::Rhythm::overdue_s`].
+    /// overdue, see [`crate::ReportInterval::overdue_s`].
     pub fn look(&mut self, now: Time, overdue_s: f64, seen: &[Seen]) -> Look {
         let mut all = Count::default();
         let mut groups: BTreeMap<Group, Count> = BTreeMap::new();
--- a/crates/suspicion/src/lib.rs
+++ b/crates/suspicion/src/lib.rs
@@ -14,7 +14,7 @@
 mod heed;
 mod peer_observations;
 mod presence;
-mod rhythm;
+mod report_interval;
 mod stall;
 
 pub use blame::{Blame, Verdict};
@@ -22,5 +22,5 @@
 pub use heed::Heed;
 pub use peer_observations::{PeerObservations, Visitors};
 pub use presence::Presence;
-pub use rhythm::Rhythm;
+pub use report_interval::ReportInterval;
 pub use stall::{Stall, Work};
--- a/crates/suspicion/src/rhythm.rs
+++ b/crates/suspicion/src/report_interval.rs
@@ -15,21 +15,21 @@
 ///
 /// They share one period, so the gaps of all tell more, and sooner, than those
 /// of each; and a machine that is new is judged by what others taught.
-pub struct Rhythm {
+pub struct ReportInterval {
     /// None only if the bounds were refused: then the stated period serves.
     gaps: Option<Histogram<u32>>,
     report_s: f64,
 }
 
-impl Rhythm {
+impl ReportInterval {
     /// `report_s`: the period that the platform states, seconds.
-    pub fn new(report_s: f64) -> Rhythm {
-        Rhythm { gaps: Histogram::new_with_bounds(1, LONGEST_MS, 2).ok(), report_s }
+    pub fn new(report_s: f64) -> ReportInterval {
+        ReportInterval { gaps: Histogram::new_with_bounds(1, LONGEST_MS, 2).ok(), report_s }
     }
 
     /// A machine reported `gap_s` seconds after its report before.
     ///
-    /// What is longer than any rhythm is an interruption and teaches nothing:
+    /// What is longer than any report_interval is an interruption and teaches nothing:
     /// else a long cut would make the next one invisible.
     pub fn heard(&mut self, gap_s: f64) {
         if gap_s > self.ceiling_s() {
@@ -73,7 +73,7 @@
 
     #[test]
     fn the_spread_of_reports_is_learned_and_a_cut_teaches_nothing() {
-        let mut r = Rhythm::new(5.0);
+        let mut r = ReportInterval::new(5.0);
         let before = r.overdue_s();
         for i in 0..50_000u32 {
             r.heard(3.75 + f64::from(i % 250) / 100.0);
@@ -84,7 +84,7 @@
             r.heard(46.0);
         }
         assert!((r.overdue_s() - learned).abs() < 1e-9);
-        // Slow links are a rhythm too, up to a bound.
+        // Slow links are a report_interval too, up to a bound.
         for _ in 0..40_000 {
             r.heard(12.0);
         }
