--- a/crates/lab/src/scale/role/cloud.rs
+++ b/crates/lab/src/scale/role/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud of a scale run, with an address for each controller.
 
-use super::Links;
+use super::{HeldControllers, Links};
 use crate::scale::flows::FlowCounter;
 use crate::scale::messages::{Command, MachinePlan, Record};
 use beamhinge_standins::cloud::{Cloud, Kind};
@@ -23,7 +23,7 @@
     booting: BTreeMap<u64, Us>,
     flows: FlowCounter,
     links: Links,
-    held_until: Vec<Us>,
+    cut_off: HeldControllers,
 }
 
 impl CloudRole {
@@ -57,7 +57,8 @@
         let rng = StdRng::seed_from_u64(seed);
         let flows = FlowCounter::default();
         let booting = BTreeMap::new();
-        CloudRole { cloud, rng, booting, flows, links, held_until: Vec::new() }
+        let cut_off = HeldControllers::default();
+        CloudRole { cloud, rng, booting, flows, links, cut_off }
     }
 
     fn obey(&mut self, now: Us, command: Command) {
@@ -71,12 +72,7 @@
                 }
             }
             Command::HoldControllers { controllers, seconds } => {
-                for controller in controllers {
-                    if self.held_until.len() <= controller {
-                        self.held_until.resize(controller + 1, 0);
-                    }
-                    self.held_until[controller] = now + (seconds * 1e6) as Us;
-                }
+                self.cut_off.hold(&controllers, now + (seconds * 1e6) as Us);
             }
             _ => {}
         }
@@ -125,7 +121,7 @@
         self.flows.request(id, kind(method, path), (method, path), request.body.len());
         let us = micros(now);
         // What is held here is never carried out: the caller's time runs out.
-        if self.held_until.get(door).is_some_and(|until| us < *until) {
+        if self.cut_off.is_held(door, us) {
             return;
         }
         let (status, body) = self.cloud.handle(us, method, path, &request.body, &mut self.rng);
--- a/crates/lab/src/scale/role/mod.rs
+++ b/crates/lab/src/scale/role/mod.rs
@@ -11,6 +11,7 @@
 
 use super::messages::{Command, Flows, Record, RolePlan};
 use beamhinge_net::{Door, DoorKind, Net, NetError, Wiring};
+use beamhinge_standins::Us;
 use beamhinge_vocab::messages::Service;
 use beamhinge_vocab::settings::External;
 use beamhinge_vocab::types::Time;
@@ -85,6 +86,27 @@
     }
 }
 
+/// Controllers whose requests are held up, and until when.
+#[derive(Default)]
+pub struct HeldControllers {
+    until: Vec<Us>,
+}
+
+impl HeldControllers {
+    pub fn hold(&mut self, controllers: &[usize], until: Us) {
+        for controller in controllers {
+            if self.until.len() <= *controller {
+                self.until.resize(controller + 1, 0);
+            }
+            self.until[*controller] = until;
+        }
+    }
+
+    pub fn is_held(&self, controller: usize, now: Us) -> bool {
+        self.until.get(controller).is_some_and(|until| now < *until)
+    }
+}
+
 /// Runs one role until its input ends.
 pub fn run() -> ExitCode {
     match serve() {
--- a/crates/lab/src/scale/role/state.rs
+++ b/crates/lab/src/scale/role/state.rs
@@ -1,6 +1,6 @@
 //! The state service of a scale run, with an address for each controller.
 
-use super::Links;
+use super::{HeldControllers, Links};
 use crate::scale::flows::FlowCounter;
 use crate::scale::messages::{wall_us, Command, Record, StateLimits};
 use beamhinge_standins::state_server::StateServer;
@@ -21,8 +21,7 @@
     flows: FlowCounter,
     links: Links,
     lead: Option<String>,
-    /// Controllers that are cut off, and until when.
-    held_until: Vec<Us>,
+    cut_off: HeldControllers,
     held: VecDeque<(usize, RequestId, Request)>,
     /// Answers take so much longer, until when.
     delay: (Us, Us),
@@ -37,27 +36,18 @@
             flows: FlowCounter::default(),
             links,
             lead: None,
-            held_until: Vec::new(),
+            cut_off: HeldControllers::default(),
             held: VecDeque::new(),
             delay: (0, 0),
             delayed: VecDeque::new(),
         }
     }
 
-    fn is_held(&self, controller: usize, now: Us) -> bool {
-        self.held_until.get(controller).is_some_and(|until| now < *until)
-    }
-
     fn obey(&mut self, now: Us, command: Command) {
         let until = |seconds: f64| now + (seconds * 1e6) as Us;
         match command {
             Command::HoldControllers { controllers, seconds } => {
-                for controller in controllers {
-                    if self.held_until.len() <= controller {
-                        self.held_until.resize(controller + 1, 0);
-                    }
-                    self.held_until[controller] = until(seconds);
-                }
+                self.cut_off.hold(&controllers, until(seconds));
             }
             Command::Slow { delay_s, seconds } => {
                 self.delay = ((delay_s * 1e6) as Us, until(seconds));
@@ -72,7 +62,7 @@
         let us = micros(now);
         for _ in 0..self.held.len() {
             let Some((controller, id, request)) = self.held.pop_front() else { break };
-            if self.is_held(controller, us) {
+            if self.cut_off.is_held(controller, us) {
                 self.held.push_back((controller, id, request));
             } else {
                 self.server.answer(now, id, &request, out);
@@ -125,7 +115,7 @@
     ) {
         let (method, path) = (request.method, request.path.as_str());
         self.flows.request(id, kind(method, path), (method, path), request.body.len());
-        if self.is_held(door, micros(now)) {
+        if self.cut_off.is_held(door, micros(now)) {
             if self.held.len() < MOST_HELD {
                 self.held.push_back((door, id, request));
             }
--- a/crates/lab/src/scale/role/users.rs
+++ b/crates/lab/src/scale/role/users.rs
@@ -27,6 +27,8 @@
 /// A submission or cancellation is given up after this, seconds.
 const GIVE_UP_S: f64 = 60.0;
 const POLL_S: f64 = 5.0;
+/// An accepted job is forgotten when nothing is told of it for so long, seconds.
+const FORGOTTEN_S: f64 = 75.0;
 /// Connections on which users call.
 const CALLERS: u64 = 512;
 /// The load balancer tries so many nodes before a connection counts as failed.
@@ -87,6 +89,8 @@
     flying: BTreeMap<CallId, Flying>,
     next_call: u64,
     told: BTreeMap<u64, Told>,
+    /// Accepted jobs that are not over, and when their user was last told anything.
+    last_told: BTreeMap<u64, Us>,
     open: usize,
     rng: StdRng,
     flows: FlowCounter,
@@ -113,6 +117,7 @@
             flying: BTreeMap::new(),
             next_call: 0,
             told: BTreeMap::new(),
+            last_told: BTreeMap::new(),
             open: 0,
             rng: StdRng::seed_from_u64(seed),
             flows: FlowCounter::default(),
@@ -215,6 +220,21 @@
         self.take_answer(now, sent, ask, status, &body);
     }
 
+    /// An accepted job about which nothing was told for so long counts as forgotten.
+    fn look_for_forgotten(&mut self, now: Us) {
+        let late = (FORGOTTEN_S * 1e6) as Us;
+        let forgotten: Vec<u64> = self
+            .last_told
+            .iter()
+            .filter(|(_, at)| now > **at + late)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in forgotten {
+            self.last_told.remove(&job);
+            self.record(job, UserEvent::Broken("forgotten".into()));
+        }
+    }
+
     fn pause_s(&self, kind: Kind) -> f64 {
         if kind == Kind::Poll {
             POLL_S
@@ -234,6 +254,11 @@
         for rule in broken {
             self.record(ask.job, UserEvent::Broken(rule.to_string()));
         }
+        if after.0 && after.1.is_none() {
+            self.last_told.insert(ask.job, now);
+        } else {
+            self.last_told.remove(&ask.job);
+        }
         if after.0 && !before.0 {
             self.record(ask.job, UserEvent::Accepted);
         }
@@ -284,6 +309,7 @@
             }
         }
         self.submit_due(us);
+        self.look_for_forgotten(us);
         while self.queue.peek().is_some_and(|Reverse(ask)| ask.at <= us) {
             if let Some(Reverse(ask)) = self.queue.pop() {
                 self.send(us, ask, out);
