Going back before a team was added removes it and does not forget it; quotas may be changed in a newcomer's cluster

Cause: found by hand with `up`: a team added in version 1 was unknown in version 2, so that its open jobs would have counted for no limit at the next holder.

--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -33,6 +33,8 @@
     Signals(std::io::Error),
 }
 
+/// Quotas may be changed while it runs (`beamhinge set-quotas`).
+const CONFIGURATION: &str = "[configuration]\non = yes\n";
 /// The team that a newcomer's jobs count for.
 const TEAM: &str = "home";
 /// How often a running task is looked after.
@@ -121,7 +123,7 @@
         keeper: Some(vec![text, "task".into()]),
         teams: vec![(TEAM.into(), 8.0, 0.0), ("guests".into(), 0.0, 8.0)],
         doubles: Doubles::default(),
-        operators: String::new(),
+        operators: CONFIGURATION.into(),
         log_level: std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
         seed: 1,
     };
--- a/crates/configuration/src/change.rs
+++ b/crates/configuration/src/change.rs
@@ -147,7 +147,10 @@
             return Err(Refusal::Conflict { seen: self.seen, current });
         }
         let wanted = match self.restore_version {
-            Some(version) => now.overlay_at(version).ok_or(Refusal::NotKept(version))?,
+            Some(version) => {
+                let before = now.overlay_at(version).ok_or(Refusal::NotKept(version))?;
+                keep_added(before, now, base)
+            }
             None => self.apply(now, base)?,
         };
         let teams: BTreeSet<&String> = now.overlay.keys().chain(wanted.keys()).collect();
@@ -206,6 +209,21 @@
     }
 }
 
+/// Teams that were added since are removed, not forgotten: their accepted jobs go on
+/// counting for their quota.
+fn keep_added(
+    mut wanted: BTreeMap<String, TeamState>,
+    now: &Snapshot,
+    base: &[settings::Team],
+) -> BTreeMap<String, TeamState> {
+    let in_base = |name: &String| base.iter().any(|team| team.name == *name);
+    for (name, state) in now.overlay.iter().filter(|(name, _)| !in_base(name)) {
+        let removed = || TeamState { removed: true, ..state.clone() };
+        wanted.entry(name.clone()).or_insert_with(removed);
+    }
+    wanted
+}
+
 /// The chunks with a changed team, as they are to be.
 fn chunks(wanted: &BTreeMap<String, TeamState>, changed: &[&String]) -> BTreeMap<usize, Chunk> {
     let touched: BTreeSet<usize> = changed.iter().map(|team| chunk_of(team)).collect();
--- a/crates/configuration/src/change/tests.rs
+++ b/crates/configuration/src/change/tests.rs
@@ -155,3 +155,16 @@
     assert_eq!(guarantees_above(&teams, 9.0), Some(10.0));
     assert_eq!(guarantees_above(&teams, 10.0), None);
 }
+
+/// Going back before a team was added once forgot it, and its open jobs had no limit.
+#[test]
+fn a_team_that_was_added_since_is_removed_and_not_forgotten() {
+    let now = apply(Snapshot::default(), &change(0, &[("new", TeamChange::Add(quota(0.0, 5.0)))]));
+    let back = Change { restore_version: Some(Version(0)), ..change(1, &[]) };
+    let now = apply(now, &back);
+    let new = now.effective(&base()).into_iter().find(|t| t.name == "new").expect("kept");
+    assert!(new.removed && new.quota.cpus_max == 5.0);
+    // Once more there is nothing to go back from.
+    let again = Change { seen: Version(2), ..back };
+    assert_eq!(again.plan(&now, &base(), author("x")), Err(Refusal::Nothing));
+}
