--- a/crates/sim/src/cluster.rs
+++ b/crates/sim/src/cluster.rs
@@ -3,6 +3,10 @@
 //! the protocol. After every step the protocol's rules are checked against
 //! what really is on the machines, not against what the controllers believe.
 
+mod judging;
+mod links;
+mod users;
+
 use crate::limits_in_force::LimitsInForce;
 use crate::rules::{OnMachines, Place};
 use crate::stopped::{self, Stops};
@@ -22,6 +26,7 @@
 use beamhinge_vocab::settings::{Operator, Settings};
 use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
 use beamhinge_vocab::wire;
+use links::Far;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
@@ -178,15 +183,6 @@
     pub expired: u64,
 }
 
-/// The far end of a controller's link.
-#[derive(Clone, Copy)]
-enum Far<'a> {
-    State,
-    Cloud,
-    Peer(usize),
-    Worker(&'a str),
-}
-
 pub struct Sim {
     pub now: Us,
     seq: u64,
@@ -413,51 +409,6 @@
         WallMs(1_700_000_000_000 + self.now / 1_000)
     }
 
-    fn cut(&self, node: usize, what: &str) -> bool {
-        self.cuts.get(&(node, what.to_string())).is_some_and(|(until, _)| self.now < *until)
-    }
-
-    /// The zone that a controller is in.
-    pub fn area(&self, node: usize) -> &str {
-        &self.settings[node].area
-    }
-
-    fn zone_is_cut(&self, zone: &str) -> bool {
-        self.zone_cuts.get(zone).is_some_and(|(until, _)| self.now < *until)
-    }
-
-    /// When a message over a controller's link arrives that would do so at `at`;
-    /// none: it is lost.
-    fn passes(&self, node: usize, far: Far, at: Us) -> Option<Us> {
-        let (what, elsewhere) = match far {
-            Far::State => ("state", None),
-            Far::Cloud => ("cloud", None),
-            Far::Peer(p) => ("peers", Some(self.area(p))),
-            Far::Worker(zone) => ("workers", Some(zone)),
-        };
-        let mut broken: Vec<(Us, bool)> = Vec::new();
-        broken.extend(self.cuts.get(&(node, what.to_string())));
-        if let Far::Peer(p) = far {
-            broken.extend(self.cuts.get(&(p, what.to_string())));
-        }
-        let at = at + self.link_delay();
-        let area = self.area(node);
-        if elsewhere != Some(area) {
-            broken.extend(self.zone_cuts.get(area));
-            broken.extend(elsewhere.and_then(|z| self.zone_cuts.get(z)));
-        }
-        broken.retain(|(until, _)| self.now < *until);
-        match broken.iter().map(|(until, _)| *until).max() {
-            None => Some(at),
-            Some(until) if broken.iter().all(|(_, held)| *held) => Some(until.max(at) + 1_000),
-            Some(_) => None,
-        }
-    }
-
-    fn worker_zone(&self, machine: u64) -> String {
-        self.workers.get(&machine).map(|w| w.zone.clone()).unwrap_or_default()
-    }
-
     /// A trouble of controllers or links, or of what they need: losses until a
     /// while after its end have a cause.
     pub fn explain_until(&mut self, until: Us) {
@@ -917,179 +868,6 @@
         }
     }
 
-    // ---- operators ----
-
-    fn ask_again(&mut self, mut q: Question) {
-        q.tries = q.tries.saturating_sub(1);
-        if q.tries > 0 {
-            self.push(self.now + SECOND / 2, Event::OperatorAsks(q));
-        }
-    }
-
-    fn operator_asks(&mut self, q: Question) {
-        let up: Vec<usize> = (0..self.nodes.len()).filter(|i| self.nodes[*i].is_some()).collect();
-        let node = match q.node {
-            Some(n) if self.nodes[n].is_some() => n,
-            None if !up.is_empty() => up[self.rng.gen_range(0..up.len())],
-            _ => return self.ask_again(q),
-        };
-        let id = RequestId { slot: 1, generation: self.next_request + 1 };
-        self.next_request += 1;
-        let req = Request {
-            method: q.method,
-            path: q.path.clone(),
-            body: q.body.clone().into_bytes(),
-            close: false,
-            authorization: None,
-        };
-        // What the load balancer asks, it asks at the users' door.
-        let door = if q.path == "/up" { 0 } else { beamhinge_controller::node::OPERATORS_DOOR };
-        self.callers.insert((node, id.generation), Caller::Operator(q));
-        self.with_node(node, |n, now, wall, out| n.on_request(now, wall, door, id, req, out));
-    }
-
-    /// Words that stand for what is there at the moment.
-    pub fn expand(&self, text: &str) -> String {
-        let busiest = self.workers.iter().max_by_key(|(_, w)| w.on_machine().count());
-        let machine = busiest.map_or(String::new(), |(id, _)| format!("n-{id:06}"));
-        let leader = self.holder().map_or(String::new(), |n| self.settings[n].label.clone());
-        text.replace("$busiest", &machine).replace("$leader", &leader)
-    }
-
-    // ---- users ----
-
-    fn user_sends(&mut self, job: String, what: What, since: Us) {
-        let up: Vec<usize> = (0..self.nodes.len())
-            .filter(|i| self.nodes[*i].is_some() && self.now >= self.frozen[*i])
-            .filter(|i| !self.zone_is_cut(self.area(*i)))
-            .collect();
-        if up.is_empty() {
-            return self.retry(job, what, since, 1.0);
-        }
-        let any = up[self.rng.gen_range(0..up.len())];
-        let node = self.asks_at.take().filter(|n| up.contains(n)).unwrap_or(any);
-        self.ask(node, job, what, since, false);
-    }
-
-    /// A user's question goes to this node; who only looks asks once.
-    fn ask(&mut self, node: usize, job: String, what: What, since: Us, look: bool) {
-        if self.healed.is_some() && !look {
-            self.asked.entry(job.clone()).or_insert(self.now);
-        }
-        let told = self.told.entry(job.clone()).or_default();
-        let (method, path, body) = match what {
-            What::Submit => {
-                told.submitted = true;
-                let body = self.jobs.get(&job).map(|j| wire::encode(&j.body)).unwrap_or_default();
-                (Method::Post, "/api/jobs".to_string(), body)
-            }
-            What::Poll => (Method::Get, format!("/api/jobs/{job}"), Vec::new()),
-            What::Cancel => {
-                told.asked_cancel = true;
-                (Method::Post, format!("/api/jobs/{job}/cancel"), Vec::new())
-            }
-        };
-        let serial = self.next_request + 1;
-        let asked = self.now;
-        self.callers.insert((node, serial), Caller::User { job, what, since, asked, look });
-        let patience = if what == What::Poll { 2 } else { 5 } * SECOND;
-        self.push(self.now + patience, Event::UserGivesUp { request: serial });
-        self.request(node, method, &path, body);
-    }
-
-    fn retry(&mut self, job: String, what: What, since: Us, after_s: f64) {
-        if what != What::Poll && self.now > since + 60 * SECOND {
-            return;
-        }
-        let after_s = if what == What::Poll { 5.0 } else { after_s };
-        self.push(self.now + (after_s * 1e6) as u64, Event::UserSends { job, what, since });
-    }
-
-    fn user_answered(
-        &mut self,
-        job: String,
-        what: What,
-        (since, asked): (Us, Us),
-        look: bool,
-        status: u16,
-        body: &[u8],
-    ) {
-        if what == What::Poll && self.untold.as_ref() == Some(&job) {
-            return self.retry(job, what, since, 1.0);
-        }
-        let value = decode(body);
-        let state = value["status"].as_str().unwrap_or("").to_string();
-        let total = self.jobs.get(&job).and_then(|j| j.body["pieces"].as_u64()).unwrap_or(0);
-        let done = self.results_of(&job);
-        let now = self.now;
-        if status < 500 {
-            if let (Some(at), Some(healed)) = (self.asked.remove(&job), self.healed) {
-                self.longest_open = self.longest_open.max(self.now - at.max(healed));
-            }
-        }
-        let told = self.told.entry(job.clone()).or_default();
-        let before = (told.accepted, told.over);
-        let cancelled = told.cancelled;
-        let (broken, next) = told.answered((now, asked), what, status, &state, done >= total);
-        let news = (told.accepted, told.over) != before;
-        let cancelled = told.cancelled != cancelled;
-        if told.accepted && self.odd.contains(&job) {
-            self.invalid.insert(job.clone());
-        }
-        if news {
-            self.look_closely(&job);
-        }
-        let next = next.filter(|_| !look);
-        if cancelled {
-            self.happened("cancelled");
-        }
-        for rule in broken {
-            self.break_rule(rule, &job);
-        }
-        match next {
-            Some(Next::Again(after_s)) => self.retry(job, what, since, after_s),
-            Some(Next::Poll(after_s)) => self.push(
-                now + (after_s.max(self.polls_s) / self.often() * 1e6) as u64,
-                Event::UserSends { job, what: What::Poll, since: now },
-            ),
-            None => {}
-        }
-    }
-
-    /// How many times as often users ask now.
-    fn often(&self) -> f64 {
-        match self.storm {
-            (factor, until) if self.now < until => factor.max(1.0),
-            _ => 1.0,
-        }
-    }
-
-    /// What each class and each team got of the work it may have done.
-    pub fn served(&self) -> Vec<(String, f64)> {
-        stopped::served(&self.jobs, |id, plan| self.counts(id, plan), |id| self.results_of(id))
-    }
-
-    /// Jobs that were accepted and should be done.
-    pub fn counts(&self, id: &str, plan: &JobPlan) -> bool {
-        let told = self.told.get(id);
-        let kept = told.is_some_and(|t| t.accepted && !t.asked_cancel);
-        kept && !plan.fails && plan.body["jobKind"] == "batch"
-    }
-
-    /// The longest that one of its class's largest jobs waited until it began, or
-    /// has waited by now, seconds.
-    pub fn largest_wait(&self) -> Option<(String, f64)> {
-        let started: BTreeMap<&str, Us> =
-            self.first_starts.iter().map(|(job, at)| (job.as_str(), *at)).collect();
-        let largest = stopped::largest(&self.jobs, |id, plan| self.counts(id, plan));
-        let waits = largest.iter().filter_map(|id| {
-            let began = started.get(id.as_str()).copied().unwrap_or(self.now);
-            let waited = began.saturating_sub(self.jobs.get(id)?.sent);
-            Some((id.clone(), waited as f64 / 1e6))
-        });
-        waits.max_by(|a, b| a.1.total_cmp(&b.1))
-    }
-
     /// Looks at the watches then, or before: one event at a time, or each request
     /// would add another that comes again for ever.
     pub fn watch_at(&mut self, at: Us) {
@@ -1189,169 +967,4 @@
             self.push(at, Event::UserSends { job, what: What::Poll, since: at });
         }
     }
-
-    /// Users wait for answers that must come, or will ask again for the first time.
-    pub fn questions_open(&self) -> bool {
-        let Some(healed) = self.healed else { return false };
-        let open = |job: &String| self.told.get(job).is_some_and(|t| t.accepted);
-        let first = self.now < healed + (LATER_S + 1) * SECOND;
-        let forgotten = self.broken.contains("forgotten");
-        first || !forgotten && self.asked.keys().any(open)
-    }
-
-    /// Accepted jobs about which no question was answered in time, once all
-    /// troubles are over, however others fare.
-    fn look_for_forgotten(&mut self) {
-        let Some(healed) = self.healed else { return };
-        let late = |(job, at): (&String, &Us)| {
-            let kept = self.told.get(job).is_some_and(|t| t.accepted);
-            (kept && self.now > (*at).max(healed) + FORGOTTEN_S * SECOND).then(|| job.clone())
-        };
-        let forgotten: Vec<String> = self.asked.iter().filter_map(late).collect();
-        for job in forgotten {
-            self.break_rule("forgotten", &format!("{job}, about which nobody is told"));
-        }
-    }
-
-    /// Rules that were broken.
-    pub fn violations(&self) -> Vec<String> {
-        self.broken.iter().cloned().collect()
-    }
-
-    /// Machines that cost money: all but those that were there before.
-    pub fn rented_machines(&self) -> usize {
-        let owned = self.owned;
-        self.cloud.hosts.iter().filter(|(id, h)| **id >= owned && h.failed_at.is_none()).count()
-    }
-
-    /// Some service is to run for ever: its machines cost money for something.
-    pub fn services_run(&self) -> bool {
-        let open =
-            |id: &String| self.told.get(id).is_some_and(|t| t.accepted && t.cancelled.is_none());
-        self.jobs.iter().any(|(id, j)| (j.body["jobKind"] == "standing" || j.fails) && open(id))
-    }
-
-    /// Accepted jobs that are neither done nor cancelled, and should be.
-    pub fn unfinished(&self) -> Vec<&str> {
-        let over = |t: &Told| t.done || t.cancelled.is_some();
-        let batch = |j: &JobPlan| j.body["jobKind"] == "batch" && !j.fails;
-        let open = self.told.iter().filter(|(_, t)| t.accepted && !over(t));
-        open.filter(|(id, _)| self.jobs.get(*id).is_some_and(batch))
-            .map(|(id, _)| id.as_str())
-            .collect()
-    }
-
-    pub fn results_of(&self, job: &str) -> u64 {
-        self.results.get(job).map_or(0, |s| s.len() as u64)
-    }
-
-    pub fn break_rule(&mut self, rule: &str, what: &str) {
-        if self.broken.insert(rule.to_string()) {
-            let at = (self.now - 3_600 * SECOND) as f64 / 1e6;
-            self.log.push(format!("{at:.3} s: {rule} broken by {what}"));
-        }
-    }
-
-    /// Takes in what happened on a machine, and looks at the rules.
-    fn refresh(&mut self, machine: u64) {
-        let Some(w) = self.workers.get_mut(&machine) else { return };
-        if !w.abused.is_empty() {
-            self.state.abused.append(&mut w.abused);
-        }
-        if w.events.is_empty() && w.expired == 0 && w.finished.is_empty() {
-            return;
-        }
-        let pieces = w.on_machine().map(|t| t.piece.clone()).collect();
-        let teams = &self.settings[0].params.teams;
-        let base = |name: &str| teams.iter().find(|t| t.name == name).map_or(0.0, |t| t.cpus_max);
-        // Limits that change are looked at where tasks begin.
-        let limit = |name: &str| if self.limits.is_changed() { 0.0 } else { base(name) };
-        let broken = self.on_machines.set(machine, Place::of(w), pieces, &self.jobs, limit);
-        let lease = (self.settings[0].params.workers.lease_s * 2e6) as Us;
-        let expired = std::mem::take(&mut w.expired);
-        self.tally.expired += expired;
-        let ill = self.now < w.troubled_until() + lease;
-        if expired > 0 && !ill && self.now > self.explained_until {
-            self.tally.unexplained += expired;
-        }
-        self.started += std::mem::take(&mut w.started);
-        let events = std::mem::take(&mut w.events);
-        // What a lease ended, nobody stopped.
-        if expired == 0 {
-            let leaving = w.reclaim_at.is_some();
-            let over = |job: &str| self.told.get(job).is_some_and(|t| t.asked_cancel);
-            self.stops.saw(self.now, machine, leaving, &events, &self.jobs, over);
-        }
-        if !self.unstarted.is_empty() {
-            for t in w.on_machine() {
-                let job = t.piece.split('/').next().unwrap_or("");
-                if self.unstarted.remove(job) {
-                    self.first_starts.push((job.to_string(), self.now));
-                }
-            }
-        }
-        let told = |piece: &str| {
-            let job = piece.split('/').next().unwrap_or("");
-            self.told.get(job).and_then(|t| t.cancelled)
-        };
-        let late = events.iter().filter(|e| e.what == Happened::Began && told(&e.piece).is_some());
-        self.late_starts += late.count() as u64;
-        // Results are kept outside the machines.
-        let mut ended = Vec::new();
-        for piece in w.finished.drain(..) {
-            if let Some((job, index)) = piece.split_once('/') {
-                let results = self.results.entry(job.to_string()).or_default();
-                let first = results.insert(index.to_string());
-                let total = self.jobs.get(job).and_then(|j| j.body["pieces"].as_u64());
-                if first && total == Some(results.len() as u64) {
-                    ended.push(job.to_string());
-                }
-            }
-        }
-        ended.into_iter().for_each(|job| self.job_ended(&job));
-        let above = events.iter().filter(|e| e.what == Happened::Began);
-        let above: Vec<String> = above.filter_map(|e| self.above_limit(&e.piece)).collect();
-        for (rule, what) in broken {
-            self.break_rule(rule, &what);
-        }
-        above.iter().for_each(|what| self.break_rule("limit_in_force", what));
-    }
-
-    /// A task that began beyond a limit that has been in force for long enough.
-    fn above_limit(&self, piece: &str) -> Option<String> {
-        if !self.limits.is_changed() {
-            return None;
-        }
-        let plan = self.jobs.get(piece.split('/').next()?)?;
-        let team = plan.body["owner"].as_str()?;
-        let (used, allowed) = (self.on_machines.used(team), self.limits.allowed(self.now, team)?);
-        (used > allowed + 1e-6).then(|| format!("{piece}: {team} uses {used} of {allowed}"))
-    }
-
-    /// The machine is gone, whoever took it.
-    pub fn lose(&mut self, machine: u64) -> Option<Worker> {
-        self.refresh(machine);
-        self.on_machines.remove(machine, &self.jobs);
-        self.stops.lose(machine);
-        self.workers.remove(&machine)
-    }
-
-    /// What only time breaks.
-    fn look_at_the_clock(&mut self) {
-        self.stops.look(self.now);
-        self.look_for_forgotten();
-        self.look_for_waiting();
-        let cancel = (self.settings[0].params.workers.cancel_s * 1e6) as Us;
-        let told = |job: &str| self.told.get(job).and_then(|t| t.cancelled);
-        let since = self.on_machines.jobs().filter_map(|(job, _)| told(job));
-        if let Some(at) = since.min() {
-            self.cancelled_left = self.cancelled_left.max((self.now - at) as f64 / cancel as f64);
-        }
-        let late = |job: &str| told(job).is_some_and(|at| self.now > at + cancel);
-        let jobs = self.on_machines.jobs().filter(|(job, _)| late(job));
-        let broken: Vec<String> = jobs.map(|(_, piece)| piece.to_string()).collect();
-        for piece in broken {
-            self.break_rule("ran_cancelled", &piece);
-        }
-    }
 }
