--- a/crates/controller/src/leader.rs
+++ b/crates/controller/src/leader.rs
@@ -70,8 +70,6 @@
     claimed: u64,
     /// No token is as high as this.
     nonsense: u64,
-    /// Our jobs are read: we could lead at once.
-    warm: bool,
     /// What tests put in.
     pub faults: Faults,
 }
@@ -102,7 +100,6 @@
             looked: Stamp(0),
             claimed: 0,
             nonsense: u64::MAX,
-            warm: false,
             faults: Faults::default(),
         }
     }
@@ -190,11 +187,6 @@
         self.presumed = self.lead.as_ref().filter(|(n, _)| n.label == holder).map(|(_, s)| *s);
     }
 
-    /// Whether our jobs are read, so that we could lead at once.
-    pub fn set_warm(&mut self, warm: bool) {
-        self.warm = warm;
-    }
-
     /// Leaves the lead to others for a while longer.
     pub fn hold_back(&mut self, now: Time) {
         if self.token.is_none() {
@@ -266,14 +258,12 @@
             return;
         }
         // Our own label with another nonce is a process of ours that ended:
-        // waiting for its lease to lapse would only cost time. But while we read our
-        // jobs, one that has read them leads sooner: with a long history a restarted
-        // process once took the lead from controllers that were ready.
+        // waiting for its lease to lapse would only cost time. That it waits until its
+        // jobs are read was tried: after an end of all, workers learned the token later.
         let (free, stamp) = match &self.lead {
             None => (true, Stamp(0)),
             Some((name, stamp)) => {
-                let former = name.label == self.me.label && name.nonce != self.me.nonce;
-                let ours = former && self.warm;
+                let ours = name.label == self.me.label && name.nonce != self.me.nonce;
                 (ours || self.presumed == Some(*stamp), *stamp)
             }
         };
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -182,7 +182,6 @@
     /// All loops, until nothing more follows from what is known.
     fn run(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>) {
         for _ in 0..4 {
-            self.leader.set_warm(self.book.loaded());
             self.leader.tick(now, &mut self.ledger);
             let follow = self.place.is_some();
             let asks = self.desk.as_ref().is_some_and(Desk::asks_book);
