After reading again: a service that calls nobody needs no reply handler, one worker's address is worked out alone, guarantees move by named parts

No change of behaviour: all addresses of a process were listed for each machine that booted; 40 was limit over guarantee.

--- a/crates/lab/src/scale/config_changes.rs
+++ b/crates/lab/src/scale/config_changes.rs
@@ -2,6 +2,7 @@
 //! everywhere.
 
 use super::figures::ConfigurationFigures;
+use super::layout::{GUARANTEED, LIMIT};
 use super::run::{answer_histogram, times};
 use crate::place;
 use crate::LabError;
@@ -111,8 +112,10 @@
         let view = self.client.configuration().ok()?;
         let team = &view.teams[self.rng.gen_range(0..view.teams.len().max(1))];
         let part = self.rng.gen_range(MOVES.0..MOVES.1);
-        let quota =
-            Quota { cpus: (team.quota.cpus_max / 40.0 * part * 10.0).round() / 10.0, ..team.quota };
+        let quota = Quota {
+            cpus: (team.quota.cpus_max / LIMIT * GUARANTEED * part * 10.0).round() / 10.0,
+            ..team.quota
+        };
         let teams = BTreeMap::from([(team.team.clone(), TeamChange::Set(quota))]);
         let why = "scale run".to_string();
         let change = Change { seen: view.version, teams, restore_version: None, why };
--- a/crates/lab/src/scale/layout.rs
+++ b/crates/lab/src/scale/layout.rs
@@ -21,8 +21,8 @@
 
 /// The part of the fleet that a team is guaranteed, and the limit of each, as parts of
 /// the fleet over all teams.
-const GUARANTEED: f64 = 0.5;
-const LIMIT: f64 = 20.0;
+pub const GUARANTEED: f64 = 0.5;
+pub const LIMIT: f64 = 20.0;
 
 pub struct Layout {
     pub size: Size,
@@ -75,13 +75,15 @@
     /// The addresses of a process's workers.
     pub fn worker_addresses(&self, process: usize) -> Vec<SocketAddrV4> {
         let spare = (self.workers_of(process) as f64 * SPARE_PLACES).ceil() as usize + 2;
+        let places = 0..self.workers_of(process) + spare;
+        places.map(|place| self.worker_address(process, place)).collect()
+    }
+
+    /// One of them, by its place.
+    pub fn worker_address(&self, process: usize, place: usize) -> SocketAddrV4 {
+        let (third, fourth) = ((place / HOSTS) as u8, (place % HOSTS) as u8 + 1);
         let port = self.base_port + WORKER_PORT;
-        (0..self.workers_of(process) + spare)
-            .map(|place| {
-                let (third, fourth) = ((place / HOSTS) as u8, (place % HOSTS) as u8 + 1);
-                loopback(WORKER_NETWORK + process as u8, third, fourth, port)
-            })
-            .collect()
+        loopback(WORKER_NETWORK + process as u8, third, fourth, port)
     }
 
     pub fn state_addresses(&self) -> Vec<SocketAddrV4> {
@@ -183,7 +185,7 @@
         let deployment = self.deployment();
         let nodes = deployment.nodes.iter().flat_map(|n| [n.operators, n.users, n.peers]);
         let first_workers =
-            (0..self.worker_processes()).filter_map(|p| self.worker_addresses(p).first().copied());
+            (0..self.worker_processes()).map(|process| self.worker_address(process, 0));
         nodes
             .chain(self.state_addresses())
             .chain(self.cloud_addresses())
--- a/crates/lab/src/scale/role/cloud.rs
+++ b/crates/lab/src/scale/role/cloud.rs
@@ -7,7 +7,7 @@
 use beamhinge_standins::{micros, Us, SECOND};
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Out, Service};
-use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use beamhinge_vocab::types::{RequestId, Time, WallMs};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::collections::BTreeMap;
@@ -130,16 +130,6 @@
         self.tell_machines(us);
     }
 
-    fn on_reply(
-        &mut self,
-        _now: Time,
-        _wall: WallMs,
-        _id: CallId,
-        _result: Option<(u16, Vec<u8>)>,
-        _out: &mut Vec<Out>,
-    ) {
-    }
-
     fn on_tick(&mut self, now: Time, _wall: WallMs, _out: &mut Vec<Out>) {
         let us = micros(now);
         while let Some(command) = self.links.command() {
--- a/crates/lab/src/scale/role/state.rs
+++ b/crates/lab/src/scale/role/state.rs
@@ -8,7 +8,7 @@
 use beamhinge_vocab::http::{Method, Request};
 use beamhinge_vocab::messages::{Out, Service};
 use beamhinge_vocab::settings;
-use beamhinge_vocab::types::{CallId, RequestId, Time, WallMs};
+use beamhinge_vocab::types::{RequestId, Time, WallMs};
 use std::collections::VecDeque;
 
 /// The key that says who leads.
@@ -127,16 +127,6 @@
         self.note_lead();
     }
 
-    fn on_reply(
-        &mut self,
-        _now: Time,
-        _wall: WallMs,
-        _id: CallId,
-        _result: Option<(u16, Vec<u8>)>,
-        _out: &mut Vec<Out>,
-    ) {
-    }
-
     fn on_tick(&mut self, now: Time, _wall: WallMs, out: &mut Vec<Out>) {
         let us = micros(now);
         while let Some(command) = self.links.command() {
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -331,7 +331,7 @@
         let process = self.layout.process_of(machine);
         let Some(place) = self.free_places[process].pop_first() else { return };
         self.machines.insert(machine, (place, zone.clone()));
-        let address = self.layout.worker_addresses(process)[place];
+        let address = self.layout.worker_address(process, place);
         self.tell(RoleId::Cloud, &Command::Endpoint { machine, address });
         let (cpus, memory_gb) = (self.plan.size.machine.cpus, self.plan.size.machine.memory_gb);
         let boot = Command::Boot { machine, zone, spot, cpus, memory_gb, place };
--- a/crates/vocab/src/messages.rs
+++ b/crates/vocab/src/messages.rs
@@ -69,15 +69,17 @@
         request: Request,
         out: &mut Vec<Out>,
     );
-    /// `None`: the connection failed or the time ran out; its fate is unknown.
+    /// `None`: the connection failed or the time ran out; its fate is unknown. One that
+    /// calls nobody is told nothing.
     fn on_reply(
         &mut self,
-        now: Time,
-        wall: WallMs,
-        id: CallId,
-        result: Option<(u16, Vec<u8>)>,
-        out: &mut Vec<Out>,
-    );
+        _now: Time,
+        _wall: WallMs,
+        _id: CallId,
+        _result: Option<(u16, Vec<u8>)>,
+        _out: &mut Vec<Out>,
+    ) {
+    }
     fn on_frame(&mut self, _now: Time, _wall: WallMs, _frame: Frame, _out: &mut Vec<Out>) {}
     fn on_tick(&mut self, now: Time, wall: WallMs, out: &mut Vec<Out>);
 }
