--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -91,7 +91,7 @@
 
 def free_ports(count):
     """Ports below the range of outgoing connections that nobody listens on."""
-    found, port = [], 10_000 + os.getpid() % 8_000
+    found, port = [], 10_000 + os.getpid() * 7 % 20_000
     while len(found) < count:
         port += 1
         with socket.socket() as probe:
