--- a/review/lib/cbor.py
+++ b/review/lib/cbor.py
@@ -3,6 +3,13 @@
 import struct
 
 
+class Raw:
+    """A value that is encoded once and sent often."""
+
+    def __init__(self, value):
+        self.value, self.data = value, encode(value)
+
+
 def encode(value):
     out = bytearray()
     _encode(value, out)
@@ -44,6 +51,8 @@
         _head(4, len(value), out)
         for item in value:
             _encode(item, out)
+    elif isinstance(value, Raw):
+        out += value.data
     elif isinstance(value, dict):
         _head(5, len(value), out)
         for key, item in value.items():
--- a/review/lib/state.py
+++ b/review/lib/state.py
@@ -7,7 +7,7 @@
 import time
 from urllib.parse import parse_qs
 
-from cbor import encode
+from cbor import Raw, encode
 from http_ import serve
 
 HISTORY = 10_000
@@ -37,6 +37,7 @@
     def __init__(self, rps, write_rps, value_kb, txn_ops):
         self.lock = threading.Condition()
         self.keys, self.leases = {}, {}
+        self.order = []  # the keys, sorted
         self.revision, self.last_lease, self.compacted = 0, 0, 0
         self.history, self.revisions = [], []
         self.requests, self.writes = Bucket(rps), Bucket(write_rps)
@@ -52,6 +53,17 @@
     def port(self, node):
         return serve(lambda method, path, body: self._handle(node, method, path, body))
 
+    def preload(self, under, numbers, value):
+        """Adds keys as if they had been written one by one, long ago."""
+        raw = Raw(value)
+        with self.lock:
+            for number in numbers:
+                self.revision += 1
+                self.keys[f"{under}{number:06d}"] = {"value": raw, "stamp": self.revision}
+            self.order = sorted(self.keys)
+            self.history, self.revisions, self.compacted = [], [], self.revision
+            self.lock.notify_all()
+
     def leader(self):
         with self.lock:
             entry = self.keys.get("lead/now")
@@ -121,7 +133,7 @@
         if gone:
             self.revision += 1
             for key in gone:
-                del self.keys[key]
+                self._remove(key)
                 self._record(key, None)
             self.lock.notify_all()
 
@@ -160,22 +172,33 @@
                     entry = {"value": change.get("value"), "stamp": self.revision}
                     if change.get("permit") is not None:
                         entry["permit"] = change["permit"]
+                    if change["write"] not in self.keys:
+                        bisect.insort(self.order, change["write"])
                     self.keys[change["write"]] = entry
                     self._record(change["write"], entry["value"])
                 else:
-                    self.keys.pop(change["delete"], None)
+                    self._remove(change["delete"])
                     self._record(change["delete"], None)
             self.lock.notify_all()
         return 200, {"ledgerRev": self.revision}
 
+    def _remove(self, key):
+        if self.keys.pop(key, None) is not None:
+            del self.order[bisect.bisect_left(self.order, key)]
+
     def _list(self, query):
         under, since = query.get("under", ""), query.get("since", "")
         most = min(int(query.get("most", 1000)), 1000)
         pairs, size, more = [], 0, False
-        for key in sorted(k for k in self.keys if k.startswith(under) and k > since):
-            pair = {"path": key, "value": self.keys[key]["value"],
-                    "stamp": self.keys[key]["stamp"]}
-            size += json_len(pair)
+        first = max(bisect.bisect_left(self.order, under), bisect.bisect_right(self.order, since))
+        for at in range(first, len(self.order)):
+            key = self.order[at]
+            if not key.startswith(under):
+                break
+            value = self.keys[key]["value"]
+            pair = {"path": key, "value": value, "stamp": self.keys[key]["stamp"]}
+            size += len(key) + 60 + (
+                2 * len(value.data) if isinstance(value, Raw) else json_len(value))
             if len(pairs) == most or (pairs and size > PAGE_BYTES):
                 more = True
                 break
