--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -684,7 +684,9 @@
         self.starts = {}
         self.workers, self.jobs, self.results = {}, {}, set()
         self.hosts, self.rentals, self.next_host = {}, {}, 1
-        self.bad_reports = {}
+        # Zones where the cloud has no machines to give, and the break of its network.
+        self.sold_out, self.cloud_reached = set(), asyncio.Event()
+        self.cloud_reached.set()
 
     # jobs and machines
 
@@ -744,7 +746,21 @@
             worker.stop()
         self.hosts[name]["status"] = "failed"
 
+    def break_cloud(self, seconds):
+        """The network between cloud and controllers breaks; packets are held and delivered after
+        the break."""
+        self.record(f"cloud: the network to the controllers breaks for {seconds} s")
+        self.cloud_reached.clear()
+
+        def mend():
+            self.record("cloud: the network is whole again")
+            self.cloud_reached.set()
+        asyncio.get_event_loop().call_later(seconds, mend)
+
     async def cloud(self, method, path, body):
+        asked = self.record.now()
+        await self.cloud_reached.wait()
+        late = self.record.now() - asked
         path, _, query = path.partition("?")
         params = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
         if path == "/flavors":
@@ -760,8 +776,13 @@
             if wish["rental"] in self.rentals:
                 return 200, {"hosts": self.rentals[wish["rental"]]}
             room = self.capacity - (len(self.hosts) - len(self.first_machines))
+            if wish["yard"] in self.sold_out:
+                room = 0
             count = min(wish["howMany"], 50, max(room, 0))
             if count <= 0:
+                self.record(f"cloud: rental {wish['rental']} of {wish['howMany']} {wish['shape']} "
+                            f"in {wish['yard']}, loaners {wish['loaners']}, handled after "
+                            f"{late:.1f} s: no capacity")
                 return 503, {"error": "no capacity"}
             boot_s = self.shape(wish["shape"])["bootS"]
             names = [await self.add_host(wish["shape"], wish["yard"], wish["loaners"], boot_s)
@@ -1080,25 +1101,25 @@
         print("the program is not built: cargo build --release", file=sys.stderr)
         return 2
 
+    platform = Platform(folder, getattr(case, "settings", None))
+
     async def play():
-        platform = Platform(folder, getattr(case, "settings", None))
+        platform.record(f"case begins, trouble: {trouble}")
+        await platform.start()
+        if not await platform.until_ready():
+            platform.record("the deployment did not come up")
+            return 2
         try:
-            platform.record(f"case begins, trouble: {trouble}")
-            await platform.start()
-            if not await platform.until_ready():
-                platform.record("the deployment did not come up")
-                return 2
             held = await asyncio.wait_for(case(platform, trouble), 113)
-            if held is None:
-                return 2
-            platform.record("result: the rule " + ("held" if held else "was broken"))
-            print("held" if held else "broken")
-            return 0 if held else 1
         except asyncio.TimeoutError:
             platform.record("the case did not end in time")
             return 2
-        finally:
-            platform.close()
+        if held is None:
+            platform.record("the case could not run")
+            return 2
+        platform.record("result: the rule " + ("held" if held else "was broken"))
+        print("held" if held else "broken")
+        return 0 if held else 1
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
@@ -1109,4 +1130,7 @@
     try:
         return loop.run_until_complete(play())
     except KeyboardInterrupt:
+        platform.record("the case was interrupted")
         return 2
+    finally:
+        platform.close()
