--- a/crates/admin-api/src/reasons.rs
+++ b/crates/admin-api/src/reasons.rs
@@ -49,6 +49,32 @@
     pub lacks_memory_gb: f64,
 }
 
+/// Why no machine of a market is rented for a pending job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RentalObstacle {
+    /// As many machines as planned exist, boot or are requested.
+    Covered,
+    /// The job is planned for another machine type.
+    #[serde(rename = "other_shape")]
+    OtherMachineType,
+    /// The missing machines are rented in another market.
+    OtherMarket,
+    /// The cloud's list of machines has not been read yet.
+    InventoryUnknown,
+}
+
+impl fmt::Display for RentalObstacle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RentalObstacle::Covered => "the planned number is there or on its way",
+            RentalObstacle::OtherMachineType => "the job is planned for another type",
+            RentalObstacle::OtherMarket => "the missing ones are rented elsewhere",
+            RentalObstacle::InventoryUnknown => "the list of machines is not read yet",
+        })
+    }
+}
+
 /// One reason why tasks of a job are waiting.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "reason", rename_all = "snake_case")]
@@ -129,6 +155,24 @@
         /// Time until the request is retried, seconds.
         again_s: f64,
     },
+    /// No machine of this type is being requested in this zone, though the job could use it.
+    NotRented {
+        /// Label of the machine type.
+        #[serde(rename = "shape")]
+        machine_type: String,
+        /// Zone of the machines.
+        zone: String,
+        /// Whether these are spot machines.
+        spot: bool,
+        /// Why none is requested.
+        because: RentalObstacle,
+        /// Number of such machines that the latest plan wants, in all zones.
+        wanted: u32,
+        /// Number of such machines that are present, booting or requested, in all zones.
+        counted: u32,
+        /// The part of `counted` in this zone.
+        in_zone: u32,
+    },
     /// Machines, machine types or zones that the job could use are drained.
     Drained {
         /// Target of the directive.
@@ -231,6 +275,7 @@
             Reason::Booting { .. } => "booting",
             Reason::Renting { .. } => "renting",
             Reason::MarketRefused { .. } => "market_refused",
+            Reason::NotRented { .. } => "not_rented",
             Reason::Drained { .. } => "drained",
             Reason::Behind { .. } => "behind",
             Reason::PriorityAging { .. } => "ageing",
@@ -402,6 +447,20 @@
                 "the cloud has no {} {machine_type} in {zone}; asked again in {again_s:.0} s",
                 market_name(*spot)
             ),
+            Reason::NotRented {
+                machine_type,
+                zone,
+                spot,
+                because,
+                wanted,
+                counted,
+                in_zone,
+            } => write!(
+                f,
+                "no {} {machine_type} is rented in {zone}: {because} ({wanted} wanted, {counted} \
+                 counted, {in_zone} of them in {zone})",
+                market_name(*spot)
+            ),
             Reason::Drained {
                 target,
                 since_s,
--- a/crates/admin-api/tests/golden.rs
+++ b/crates/admin-api/tests/golden.rs
@@ -9,7 +9,7 @@
     Afterwards, Directive, DirectiveChange, DirectiveChangeResult, Target,
 };
 use beamhinge_admin_api::messages::*;
-use beamhinge_admin_api::reasons::{CandidateMachine, MachineTally, Reason};
+use beamhinge_admin_api::reasons::{CandidateMachine, MachineTally, Reason, RentalObstacle};
 use beamhinge_configuration::stored::Author;
 use beamhinge_configuration::{ConfigurationChange, Quota, TeamChange, Version};
 use beamhinge_core::job::{JobKind, JobSpec, Urgency};
@@ -169,6 +169,15 @@
             spot: true,
             again_s: 1.5,
         },
+        Reason::NotRented {
+            machine_type: machine_type(),
+            zone: zone(),
+            spot: true,
+            because: RentalObstacle::Covered,
+            wanted: 2,
+            counted: 3,
+            in_zone: 1,
+        },
         Reason::Drained {
             target: target(),
             since_s: 1.5,
--- a/crates/controller/src/fleet/admin_views.rs
+++ b/crates/controller/src/fleet/admin_views.rs
@@ -16,14 +16,18 @@
 use std::collections::BTreeMap;
 
 /// A job's requirements on machines.
-struct Requirements<'a> {
+pub(super) struct Requirements<'a> {
     spec: &'a JobSpec,
     resources: &'a split::Resources,
 }
 
-impl Requirements<'_> {
+impl<'a> Requirements<'a> {
+    pub(super) fn new(spec: &'a JobSpec, resources: &'a split::Resources) -> Requirements<'a> {
+        Requirements { spec, resources }
+    }
+
     /// Whether machines of this type, zone and class could ever run tasks of the job.
-    fn are_met_by(&self, machine_type: &MachineType, zone: &str, spot: bool) -> bool {
+    pub(super) fn are_met_by(&self, machine_type: &MachineType, zone: &str, spot: bool) -> bool {
         let spec = self.spec;
         let zone_allowed = spec.zone.as_ref().is_none_or(|z| z == zone);
         zone_allowed
@@ -71,12 +75,10 @@
             return reasons;
         };
         let machine_types = self.machine_types.as_slice();
-        let requirements = Requirements {
-            spec,
-            resources: &demand.resources,
-        };
+        let requirements = Requirements::new(spec, &demand.resources);
         term.explain_booting(now, machine_types, &requirements, scheduler, &mut reasons);
         term.explain_rentals(now, machine_types, &requirements, &mut reasons);
+        term.explain_not_rented(now, machine_types, demand, &requirements, &mut reasons);
         for directive in scheduler.active_directives().iter() {
             let blocks = directive.target.is_drain()
                 && term.drain_blocks(directive, machine_types, &requirements, scheduler);
@@ -178,6 +180,12 @@
             .count() as u32
     }
 
+    /// Number of pending jobs that no machine can serve that is present, booting or requested.
+    pub fn jobs_without_machine(&self) -> usize {
+        let term = self.term.as_ref();
+        term.map_or(0, |t| t.report.jobs_without_machine)
+    }
+
     /// The learner's parameter pairs, for the admin API.
     pub fn render_parameter_pairs(&self) -> SplitPage {
         let Some(term) = &self.term else {
@@ -263,7 +271,7 @@
 
     /// Adds the open rentals that could serve the job, and the markets for it that recently refused
     /// a request.
-    fn explain_rentals(
+    pub(super) fn explain_rentals(
         &self,
         now: Time,
         machine_types: &[MachineType],
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! | `machine_health` | detects failed, unbooted, unlisted and unreachable machines |
 //! | `rentals`, `rental_record` | open and recent rentals, and their stored record |
 //! | `scale_plan` | compares existing capacity with target capacity |
+//! | `plan_report` | why no machine is rented for a pending job |
 //! | `scale_out`, `scale_in` | request and release machines |
 //! | `admin_views` | machine, pending-job and capacity-planning views of the admin API |
 //!
@@ -39,6 +40,7 @@
 mod instance;
 mod inventory;
 mod machine_health;
+mod plan_report;
 mod rental_record;
 mod rentals;
 mod scale_in;
--- /dev/null
+++ b/crates/controller/src/fleet/plan_report.rs
@@ -0,0 +1,172 @@
+//! Diagnosis of the latest plan: why no machine is rented for a pending job, by machine type, zone
+//! and market.
+
+use super::admin_views::Requirements;
+use super::rentals::Market;
+use super::term::LeaderTerm;
+use crate::scheduler::Scheduler;
+use crate::split::{self, Demand, MachineClass, MachineType};
+use beamhinge_admin_api::reasons::{Reason, RentalObstacle};
+use beamhinge_core::types::{Time, WallMs};
+use std::collections::BTreeMap;
+
+/// Age from which a job without a usable machine is logged, seconds.
+const MIN_REPORTED_AGE_S: f64 = 30.0;
+/// Interval between two log entries about the same situation, seconds.
+const REPORT_INTERVAL_S: f64 = 30.0;
+/// Maximum number of jobs that are logged at once.
+const MAX_REPORTED_JOBS: usize = 20;
+
+/// The numbers of machines that the latest plan wanted and counted.
+#[derive(Default)]
+pub(super) struct PlanReport {
+    /// Number of machines wanted, by class.
+    pub(super) wanted: BTreeMap<MachineClass, u32>,
+    /// Number of machines counted as capacity, by class and zone: present, booting or requested.
+    pub(super) counted: BTreeMap<(MachineClass, String), u32>,
+    /// Number of pending jobs without a counted machine that they may use.
+    pub(super) jobs_without_machine: usize,
+    logged_at: Time,
+}
+
+impl PlanReport {
+    fn wanted(&self, class: MachineClass) -> u32 {
+        self.wanted.get(&class).copied().unwrap_or(0)
+    }
+
+    /// Number of counted machines of the class in all zones.
+    fn counted(&self, class: MachineClass) -> u32 {
+        let of_class = self.counted.iter().filter(|((c, _), _)| *c == class);
+        of_class.map(|(_, count)| count).sum()
+    }
+
+    /// Number of counted machines of one market.
+    fn counted_in_zone(&self, class: MachineClass, zone: &str) -> u32 {
+        let key = (class, zone.to_string());
+        self.counted.get(&key).copied().unwrap_or(0)
+    }
+}
+
+impl LeaderTerm {
+    /// Adds, for each market whose machines the job may use, why none is rented for it. Markets
+    /// with an open or recently refused request are left out: they have reasons of their own.
+    pub(super) fn explain_not_rented(
+        &self,
+        now: Time,
+        machine_types: &[MachineType],
+        demand: &Demand,
+        requirements: &Requirements,
+        reasons: &mut Vec<Reason>,
+    ) {
+        let exclusive = split::exclusive_types(machine_types, std::slice::from_ref(demand));
+        let chosen = split::cheapest_type(machine_types, demand, &exclusive);
+        for (index, machine_type) in machine_types.iter().enumerate() {
+            let is_chosen = chosen.is_some_and(|choice| choice.machine_type == index);
+            for zone in &machine_type.zones {
+                for spot in [true, false] {
+                    let market = Market {
+                        machine_type: index,
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    let usable = requirements.are_met_by(machine_type, zone, spot);
+                    if usable && !self.is_requested_or_refused(now, &market) {
+                        let label = &machine_type.label;
+                        reasons.push(self.not_rented(&market, label, is_chosen));
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_requested_or_refused(&self, now: Time, market: &Market) -> bool {
+        let rentals = &self.rentals;
+        rentals.open.iter().any(|rental| rental.market() == *market)
+            || rentals
+                .refused_markets
+                .get(market)
+                .is_some_and(|until| *until > now)
+    }
+
+    fn not_rented(&self, market: &Market, label: &str, is_chosen_type: bool) -> Reason {
+        let class = MachineClass {
+            machine_type: market.machine_type,
+            spot: market.spot,
+        };
+        let (wanted, counted) = (self.report.wanted(class), self.report.counted(class));
+        let because = if !self.listing.is_complete() {
+            RentalObstacle::InventoryUnknown
+        } else if !is_chosen_type {
+            RentalObstacle::OtherMachineType
+        } else if wanted <= counted {
+            RentalObstacle::Covered
+        } else {
+            RentalObstacle::OtherMarket
+        };
+        Reason::NotRented {
+            machine_type: label.to_string(),
+            zone: market.zone.clone(),
+            spot: market.spot,
+            because,
+            wanted,
+            counted,
+            in_zone: self.report.counted_in_zone(class, &market.zone),
+        }
+    }
+
+    /// Counts the pending jobs that no counted machine can serve, and logs the oldest of them with
+    /// the reasons why no machine is rented for them.
+    pub(super) fn report_jobs_without_machine(
+        &mut self,
+        now: Time,
+        wall: WallMs,
+        demands: &[Demand],
+        machine_types: &[MachineType],
+        scheduler: &Scheduler,
+    ) {
+        let mut unserved: Vec<&Demand> = demands
+            .iter()
+            .filter(|demand| demand.waiting() > 0 && !self.has_machine_for(demand, machine_types))
+            .collect();
+        self.report.jobs_without_machine = unserved.len();
+        if now.since(self.report.logged_at) < REPORT_INTERVAL_S {
+            return;
+        }
+        unserved.retain(|demand| demand.age_s >= MIN_REPORTED_AGE_S);
+        if unserved.is_empty() {
+            return;
+        }
+        self.report.logged_at = now;
+        unserved.sort_by(|a, b| b.age_s.total_cmp(&a.age_s));
+        for demand in unserved.into_iter().take(MAX_REPORTED_JOBS) {
+            let Some((_, spec)) = scheduler.demand_of(wall, demand.job) else {
+                continue;
+            };
+            let requirements = Requirements::new(&spec, &demand.resources);
+            let mut reasons = Vec::new();
+            self.explain_rentals(now, machine_types, &requirements, &mut reasons);
+            self.explain_not_rented(now, machine_types, demand, &requirements, &mut reasons);
+            for reason in reasons {
+                tracing::info!(
+                    job = %demand.job,
+                    waiting_tasks = demand.waiting(),
+                    %reason,
+                    "pending job has no machine"
+                );
+            }
+        }
+    }
+
+    /// Whether a counted machine may run tasks of the job, regardless of what is on it.
+    fn has_machine_for(&self, demand: &Demand, machine_types: &[MachineType]) -> bool {
+        self.report.counted.iter().any(|((class, zone), count)| {
+            let zone_allowed = demand.zone.as_ref().is_none_or(|z| z == zone);
+            *count > 0
+                && zone_allowed
+                && (demand.spot || !class.spot)
+                && machine_types
+                    .get(class.machine_type)
+                    .is_some_and(|t| demand.fit(t) > 0)
+        })
+    }
+}
--- a/crates/controller/src/fleet/scale_plan.rs
+++ b/crates/controller/src/fleet/scale_plan.rs
@@ -1,7 +1,7 @@
 //! Compares the existing machines of each class with the target capacity.
 
 use super::instance::{Instance, InstanceStatus};
-use super::rentals::Market;
+use super::rentals::{Market, Rental};
 use super::term::{listing_delay_s, LeaderTerm};
 use super::TickContext;
 use crate::capacity_planner::{FreeCapacity, TargetCapacity};
@@ -22,6 +22,8 @@
 struct Capacity {
     /// Number of machines that count as capacity, by class.
     machines: BTreeMap<MachineClass, u32>,
+    /// The same by class and zone.
+    machines_by_zone: BTreeMap<(MachineClass, String), u32>,
     /// Number of those that have reported, by class.
     reporting: BTreeMap<MachineClass, u32>,
     /// CPUs and the time until they become free, by machine type.
@@ -42,18 +44,21 @@
         self.reporting.get(&class).copied().unwrap_or(0)
     }
 
-    fn add_machines(&mut self, class: MachineClass, count: u32) {
+    fn add_machines(&mut self, class: MachineClass, zone: &str, count: u32) {
         *self.machines.entry(class).or_default() += count;
+        let in_zone = self.machines_by_zone.entry((class, zone.to_string()));
+        *in_zone.or_default() += count;
     }
 
     /// Counts a machine behind a link suspected to be broken as a fraction, which decreases as it
     /// stays unreachable, so that such machines are replaced gradually.
-    fn add_shielded(&mut self, class: MachineClass, outage_s: f64, machine_type: &MachineType) {
+    fn add_shielded(&mut self, instance: &Instance, outage_s: f64, machine_type: &MachineType) {
+        let class = instance.class();
         let credit = self.shielded_credit.entry(class).or_default();
         *credit += recovery_credit(outage_s, machine_type.boot_s);
         if *credit >= 1.0 {
             *credit -= 1.0;
-            self.add_machines(class, 1);
+            self.add_machines(class, &instance.zone, 1);
             self.free_capacity
                 .entry(class.machine_type)
                 .or_default()
@@ -73,7 +78,7 @@
         let class = instance.class();
         let machine = scheduler.machine(id);
         let machine_type = machine_types.get(class.machine_type);
-        self.add_machines(class, 1);
+        self.add_machines(class, &instance.zone, 1);
         let free = self.free_capacity.entry(class.machine_type).or_default();
         if machine.is_some_and(|m| m.last_heartbeat().is_some()) {
             *self.reporting.entry(class).or_default() += 1;
@@ -96,8 +101,9 @@
     }
 
     /// Adds machines that are requested and not yet granted.
-    fn add_requested(&mut self, class: MachineClass, count: u32, machine_types: &[MachineType]) {
-        self.add_machines(class, count);
+    fn add_requested(&mut self, rental: &Rental, machine_types: &[MachineType]) {
+        let (class, count) = (rental.class(), rental.entry.count);
+        self.add_machines(class, &rental.entry.zone, count);
         if let Some(machine_type) = machine_types.get(class.machine_type) {
             let free = self.free_capacity.entry(class.machine_type).or_default();
             let ready_s = machine_type.boot_s * BOOT_TIME_FACTOR;
@@ -155,6 +161,9 @@
             }
         }
         let surplus = surplus(&capacity, &targets);
+        self.report.wanted = targets.machines;
+        self.report.counted = capacity.machines_by_zone;
+        self.report_jobs_without_machine(now, context.wall, &demands, offered, scheduler);
         self.scale_in_surplus(context, surplus, machine_types, scheduler);
     }
 
@@ -194,13 +203,13 @@
             let shielded_s = self.health.shielded.get(id);
             match (shielded_s, machine_types.get(instance.machine_type)) {
                 (Some(outage_s), Some(machine_type)) => {
-                    capacity.add_shielded(instance.class(), *outage_s, machine_type);
+                    capacity.add_shielded(instance, *outage_s, machine_type);
                 }
                 _ => capacity.add_instance(now, *id, instance, machine_types, scheduler),
             }
         }
         for rental in &self.rentals.open {
-            capacity.add_requested(rental.class(), rental.entry.count, machine_types);
+            capacity.add_requested(rental, machine_types);
         }
         for entry in &self.rentals.inherited {
             let machine_type = machine_types
@@ -211,7 +220,7 @@
                     machine_type,
                     spot: entry.spot,
                 };
-                capacity.add_machines(class, entry.count);
+                capacity.add_machines(class, &entry.zone, entry.count);
             }
         }
         capacity
--- a/crates/controller/src/fleet/term.rs
+++ b/crates/controller/src/fleet/term.rs
@@ -3,6 +3,7 @@
 use super::instance::Instance;
 use super::inventory::Listing;
 use super::machine_health::MachineHealth;
+use super::plan_report::PlanReport;
 use super::rentals::Rentals;
 use super::scale_in::ScaleInCalls;
 use super::silence_thresholds;
@@ -27,6 +28,8 @@
     /// When the fleet was last compared with the target capacity.
     pub(super) planned_at: Time,
     pub(super) planner: CapacityPlanner,
+    /// What the latest plan wanted and counted.
+    pub(super) report: PlanReport,
     #[cfg(feature = "faults")]
     pub(super) faults: crate::faults::Faults,
 }
@@ -49,6 +52,7 @@
             health: MachineHealth::new(silence_thresholds(settings)),
             planned_at: Time::default(),
             planner: CapacityPlanner::new(operator, token, now),
+            report: PlanReport::default(),
             #[cfg(feature = "faults")]
             faults: crate::faults::Faults::default(),
         }
--- a/crates/controller/src/node/admin/metrics_page.rs
+++ b/crates/controller/src/node/admin/metrics_page.rs
@@ -43,6 +43,10 @@
             ("jobs_open", f64::from(totals.jobs_open)),
             ("tasks_running", f64::from(totals.tasks_running)),
             ("tasks_waiting", f64::from(totals.tasks_waiting)),
+            (
+                "jobs_without_machine",
+                self.fleet.jobs_without_machine() as f64,
+            ),
             ("machines_up", f64::from(totals.machines_up)),
             ("machines_silent", f64::from(totals.machines_silent)),
             ("cpus", totals.cpus),
--- a/crates/controller/src/split/demand.rs
+++ b/crates/controller/src/split/demand.rs
@@ -47,7 +47,7 @@
 
 impl Demand {
     /// Number of the job's tasks that fit an empty machine of the type.
-    fn fit(&self, machine_type: &MachineType) -> u32 {
+    pub fn fit(&self, machine_type: &MachineType) -> u32 {
         allowed_fit(
             machine_type,
             &self.resources,
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -90,7 +90,8 @@
             "without" => {}
             "settle" => {}
             "nodes" | "seed" | "team-max" | "teams" | "spot" | "ordinary" | "large" | "owned"
-            | "workers" | "state" | "cloud" | "boot" | "ageing" | "configuration" | "polls" => {}
+            | "offer" | "workers" | "state" | "cloud" | "boot" | "ageing" | "configuration"
+            | "polls" => {}
             other => return Err(ScenarioError::UnknownLine(other.to_string())),
         }
     }
--- a/crates/sim/src/scenario/setup.rs
+++ b/crates/sim/src/scenario/setup.rs
@@ -145,6 +145,17 @@
     Ok(())
 }
 
+/// `offer TYPE ZONE spot|ordinary COUNT`: sets the capacity of one market.
+fn set_offers(sim: &mut Sim, lines: &Lines) {
+    for line in lines.0.iter().filter(|line| line[0] == "offer") {
+        if let [_, machine_type, zone, market, count] = line[..] {
+            let pool = CapacityPool::new(machine_type, zone, market == "spot");
+            let count = count.parse().unwrap_or(0);
+            sim.cloud.capacity.insert(pool, count);
+        }
+    }
+}
+
 /// Adds the cloud's machine types and capacity, and the machines that exist from the start.
 fn add_machines(sim: &mut Sim, lines: &Lines) {
     let boot_s = lines.number("boot", 5.0);
@@ -171,6 +182,7 @@
             sim.cloud.capacity.insert(pool, count as u32);
         }
     }
+    set_offers(sim, lines);
     for i in 0..lines.number("owned", 2.0) as usize {
         let pool = CapacityPool::new(SMALL, ZONES[i % ZONES.len()], false);
         let machine = sim.cloud.add(START, &pool, Some(OWNED_BOOT));
