Count a machine as room only for jobs that the scheduler may place on it

Cause: the planner added the demand up by machine type, in fractions of machines, and compared it with the number of machines of the type in all zones. Whether the scheduler may place the job on one of these machines was not asked.

Now one module, eligibility, answers which machines a job may use, for the scheduler, the planner, rentals and explanations. supply holds the machines that exist, boot or are requested by zone and market, with what services and tasks of over 90 s leave free on each; coverage assigns the demand to them, in whole tasks and most restricted demand first. What is left over is rented in the zones where the tasks may run, on demand where spot is refused there, of another type where every market of the cheapest one is refused; machines without which jobs limited to their zone would not have enough are not returned. Without zones and lasting tasks the targets are those of before.

--- a/crates/controller/src/capacity_planner/arrivals.rs
+++ b/crates/controller/src/capacity_planner/arrivals.rs
@@ -2,6 +2,7 @@
 //! computed.
 
 use super::record::StoredLoad;
+use crate::eligibility::ZoneScope;
 use crate::split::Demand;
 use beamhinge_core::types::Time;
 use std::collections::VecDeque;
@@ -92,7 +93,7 @@
     /// the class has ended, or if `latest` is restricted to machine types or a zone: the
     /// restriction is not stored, and is known again with the next job.
     pub(super) fn stored_load(&mut self, latest: &Demand, now: Time) -> Option<StoredLoad> {
-        let bound = latest.machine_types.is_some() || latest.zone.is_some();
+        let bound = latest.machine_types.is_some() || latest.zones != ZoneScope::Any;
         if bound || self.has_ended(now) {
             return None;
         }
--- a/crates/controller/src/capacity_planner/record.rs
+++ b/crates/controller/src/capacity_planner/record.rs
@@ -1,5 +1,6 @@
 //! Format of the planner's record, stored under [`KEY`] in the key-value store.
 
+use crate::eligibility::ZoneScope;
 use crate::split::{Demand, Resources};
 use beamhinge_core::types::JobId;
 use serde::{Deserialize, Serialize};
@@ -80,7 +81,8 @@
             deadline_array: true,
             spot: self.spot,
             machine_types: None,
-            zone: None,
+            zones: ZoneScope::Any,
+            placed_zones: ZoneScope::Any,
         })
     }
 }
--- a/crates/controller/src/capacity_planner/tests.rs
+++ b/crates/controller/src/capacity_planner/tests.rs
@@ -2,7 +2,9 @@
 use super::record::{PlannerRecord, StoredLoad, KEY, PREFIX};
 use super::*;
 use crate::split::Resources;
+use crate::supply::FreePiece;
 use beamhinge_core::wire;
+use std::collections::BTreeSet;
 
 fn queued(count: u32, latest: Option<f64>) -> QueuedTasks {
     QueuedTasks {
@@ -10,6 +12,7 @@
             inverse_priority: 1,
             late: false,
         },
+        zones: ZoneScope::Any,
         time_to_deadline_s: 0.0,
         cpus: 4.0,
         count,
@@ -19,17 +22,70 @@
     }
 }
 
+/// Names of the zones of [`piece`].
+fn zones() -> [String; 2] {
+    ["north", "south"].map(str::to_string)
+}
+
+/// CPUs that become free on a machine of a zone.
+fn piece(machine: usize, zone: usize, at_s: f64, cpus: f64) -> FreePiece {
+    FreePiece {
+        machine,
+        zone,
+        at_s,
+        cpus,
+    }
+}
+
+/// CPUs missing in all zones together.
+fn missing_cpus(pieces: &[FreePiece], queue: &mut [QueuedTasks]) -> f64 {
+    shortfall_cpus(pieces, &zones(), queue).values().sum()
+}
+
+/// Guards against a job that is never run: pieces of several machines were added up to the room of
+/// one task.
+#[test]
+fn pieces_of_several_machines_are_no_room_for_a_task() {
+    let scattered = [piece(0, 0, 0.0, 2.0), piece(1, 0, 0.0, 2.0)];
+    assert_eq!(missing_cpus(&scattered, &mut [queued(1, Some(45.0))]), 4.0);
+    let on_one_machine = [piece(0, 0, 0.0, 2.0), piece(0, 0, 20.0, 2.0)];
+    assert_eq!(
+        missing_cpus(&on_one_machine, &mut [queued(1, Some(45.0))]),
+        0.0
+    );
+    // A piece that is too small for the first job stays free for the second one.
+    let small = QueuedTasks {
+        cpus: 2.0,
+        time_to_deadline_s: 1.0,
+        ..queued(2, Some(45.0))
+    };
+    assert_eq!(missing_cpus(&scattered, &mut [queued(1, None), small]), 0.0);
+}
+
+/// Guards against a job that is never run: capacity of one zone counted as room for a job that is
+/// bound to another one.
+#[test]
+fn capacity_of_another_zone_is_a_shortfall() {
+    let south = ZoneScope::Only(BTreeSet::from(["south".to_string()]));
+    let bound = || QueuedTasks {
+        zones: south.clone(),
+        ..queued(1, Some(45.0))
+    };
+    let north = [piece(0, 0, 0.0, 8.0)];
+    let missing = shortfall_cpus(&north, &zones(), &mut [bound(), queued(1, Some(45.0))]);
+    assert_eq!(missing, BTreeMap::from([(south.clone(), 4.0)]));
+    let both = [piece(0, 0, 0.0, 8.0), piece(1, 1, 0.0, 4.0)];
+    assert_eq!(missing_cpus(&both, &mut [bound()]), 0.0);
+}
+
 #[test]
 fn capacity_that_becomes_free_in_time_is_no_shortfall() {
-    let free = vec![(0.0, 4.0), (10.0, 4.0)];
+    let free = [piece(0, 0, 0.0, 4.0), piece(0, 0, 10.0, 4.0)];
     // The tasks start at 0, 10, 20 and 30 s: all before the latest start at 40 s.
-    assert_eq!(shortfall_cpus(&free, &mut [queued(4, Some(40.0))]), 0.0);
+    assert_eq!(missing_cpus(&free, &mut [queued(4, Some(40.0))]), 0.0);
     // Two more tasks would start at 40 and 50 s: the last is after the latest start at 45 s.
-    assert_eq!(shortfall_cpus(&free, &mut [queued(6, Some(45.0))]), 4.0);
-    assert_eq!(
-        shortfall_cpus(&FreeCapacity::new(), &mut [queued(2, Some(45.0))]),
-        8.0
-    );
+    assert_eq!(missing_cpus(&free, &mut [queued(6, Some(45.0))]), 4.0);
+    assert_eq!(missing_cpus(&[], &mut [queued(2, Some(45.0))]), 8.0);
 }
 
 /// A job of ten tasks that may not wait, four of which fit a machine of [`machine_type`].
@@ -52,7 +108,8 @@
         deadline_array: true,
         spot: true,
         machine_types: None,
-        zone: None,
+        zones: ZoneScope::Any,
+        placed_zones: ZoneScope::Any,
     }
 }
 
@@ -101,15 +158,16 @@
     let text = beamhinge_core::settings::SAMPLE;
     let settings = Settings::parse("the sample", text).expect("the sample settings are valid");
     let mut standby_at = |s: f64| {
-        let targets = new_planner.target_capacity(
-            at(s),
-            &[],
-            std::slice::from_ref(&machine_type),
-            &settings,
-            0.0,
-            &BTreeMap::new(),
-        );
-        targets.get(&0).map_or(0.0, |target| target.standby)
+        let targets = new_planner.target_capacity(&PlanInputs {
+            now: at(s),
+            demands: &[],
+            machine_types: std::slice::from_ref(&machine_type),
+            settings: &settings,
+            owned_cpus: 0.0,
+            supply: &Supply::default(),
+            refused: &RefusedMarkets::new(),
+        });
+        targets.by_type.get(&0).map_or(0.0, |target| target.standby)
     };
     assert!(
         (standby_at(61.0) - 35.0).abs() < 1e-6,
@@ -155,14 +213,8 @@
 
 #[test]
 fn tasks_that_a_new_machine_cannot_help_are_no_shortfall() {
-    assert_eq!(
-        shortfall_cpus(&FreeCapacity::new(), &mut [queued(2, Some(10.0))]),
-        0.0
-    );
-    assert_eq!(
-        shortfall_cpus(&FreeCapacity::new(), &mut [queued(2, None)]),
-        0.0
-    );
+    assert_eq!(missing_cpus(&[], &mut [queued(2, Some(10.0))]), 0.0);
+    assert_eq!(missing_cpus(&[], &mut [queued(2, None)]), 0.0);
 }
 
 fn stored_record() -> PlannerRecord {
--- a/crates/controller/src/fleet/admin_views.rs
+++ b/crates/controller/src/fleet/admin_views.rs
@@ -5,6 +5,7 @@
 use super::scale_plan::BOOT_TIME_FACTOR;
 use super::term::LeaderTerm;
 use super::Fleet;
+use crate::eligibility::{Constraints, Site};
 use crate::scheduler::{Machine, Scheduler};
 use crate::split::{self, Demand, MachineType};
 use beamhinge_admin_api::directives::{Directive, Target};
@@ -28,16 +29,13 @@
 
     /// Whether machines of this type, zone and class could ever run tasks of the job.
     pub(super) fn are_met_by(&self, machine_type: &MachineType, zone: &str, spot: bool) -> bool {
-        let spec = self.spec;
-        let zone_allowed = spec.zone.as_ref().is_none_or(|z| z == zone);
-        zone_allowed
-            && (spec.spot || !spot)
-            && split::allowed_fit(
-                machine_type,
-                self.resources,
-                &spec.machine_types,
-                &spec.zone,
-            ) > 0
+        let constraints = Constraints::from(self.spec);
+        let site = Site {
+            machine_type,
+            zone,
+            spot,
+        };
+        constraints.ineligible_reason(site).is_none() && machine_type.max_tasks(self.resources) > 0
     }
 }
 
--- a/crates/controller/src/fleet/plan_report.rs
+++ b/crates/controller/src/fleet/plan_report.rs
@@ -2,12 +2,13 @@
 //! and market.
 
 use super::admin_views::Requirements;
-use super::rentals::Market;
 use super::term::LeaderTerm;
+use super::TickContext;
 use crate::scheduler::Scheduler;
-use crate::split::{self, Demand, MachineClass, MachineType};
+use crate::split::{self, Demand, MachineClass, MachineType, Market};
+use crate::supply::{RoomQuery, Supply};
 use beamhinge_admin_api::reasons::{Reason, RentalObstacle};
-use beamhinge_core::types::{Time, WallMs};
+use beamhinge_core::types::Time;
 use std::collections::BTreeMap;
 
 /// Age from which a job without a usable machine is logged, seconds.
@@ -22,8 +23,8 @@
 pub(super) struct PlanReport {
     /// Number of machines wanted, by class.
     pub(super) wanted: BTreeMap<MachineClass, u32>,
-    /// Number of machines counted as capacity, by class and zone: present, booting or requested.
-    pub(super) counted: BTreeMap<(MachineClass, String), u32>,
+    /// Number of machines counted as capacity, by market: present, booting or requested.
+    pub(super) counted: BTreeMap<Market, u32>,
     /// Number of pending jobs without a counted machine that they may use.
     pub(super) jobs_without_machine: usize,
     logged_at: Time,
@@ -36,14 +37,13 @@
 
     /// Number of counted machines of the class in all zones.
     fn counted(&self, class: MachineClass) -> u32 {
-        let of_class = self.counted.iter().filter(|((c, _), _)| *c == class);
+        let of_class = self.counted.iter().filter(|(m, _)| m.class() == class);
         of_class.map(|(_, count)| count).sum()
     }
 
     /// Number of counted machines of one market.
-    fn counted_in_zone(&self, class: MachineClass, zone: &str) -> u32 {
-        let key = (class, zone.to_string());
-        self.counted.get(&key).copied().unwrap_or(0)
+    fn counted_in_market(&self, market: &Market) -> u32 {
+        self.counted.get(market).copied().unwrap_or(0)
     }
 }
 
@@ -69,7 +69,8 @@
                         zone: zone.clone(),
                         spot,
                     };
-                    let usable = requirements.are_met_by(machine_type, zone, spot);
+                    let usable =
+                        demand.may_use(zone) && requirements.are_met_by(machine_type, zone, spot);
                     if usable && !self.is_requested_or_refused(now, &market) {
                         let label = &machine_type.label;
                         reasons.push(self.not_rented(&market, label, is_chosen));
@@ -110,7 +111,7 @@
             because,
             wanted,
             counted,
-            in_zone: self.report.counted_in_zone(class, &market.zone),
+            in_zone: self.report.counted_in_market(market),
         }
     }
 
@@ -118,15 +119,16 @@
     /// the reasons why no machine is rented for them.
     pub(super) fn report_jobs_without_machine(
         &mut self,
-        now: Time,
-        wall: WallMs,
+        context: &TickContext,
         demands: &[Demand],
+        supply: &Supply,
         machine_types: &[MachineType],
         scheduler: &Scheduler,
     ) {
+        let now = context.now;
         let mut unserved: Vec<&Demand> = demands
             .iter()
-            .filter(|demand| demand.waiting() > 0 && !self.has_machine_for(demand, machine_types))
+            .filter(|demand| demand.waiting() > 0 && !has_room(demand, supply, machine_types))
             .collect();
         self.report.jobs_without_machine = unserved.len();
         if now.since(self.report.logged_at) < REPORT_INTERVAL_S {
@@ -139,7 +141,8 @@
         self.report.logged_at = now;
         unserved.sort_by(|a, b| b.age_s.total_cmp(&a.age_s));
         for demand in unserved.into_iter().take(MAX_REPORTED_JOBS) {
-            let Some((_, spec)) = scheduler.demand_of(wall, demand.job) else {
+            let Some((_, spec)) = scheduler.demand_of(context.wall, demand.job, machine_types)
+            else {
                 continue;
             };
             let requirements = Requirements::new(&spec, &demand.resources);
@@ -156,17 +159,20 @@
             }
         }
     }
+}
 
-    /// Whether a counted machine may run tasks of the job, regardless of what is on it.
-    fn has_machine_for(&self, demand: &Demand, machine_types: &[MachineType]) -> bool {
-        self.report.counted.iter().any(|((class, zone), count)| {
-            let zone_allowed = demand.zone.as_ref().is_none_or(|z| z == zone);
-            *count > 0
-                && zone_allowed
-                && (demand.spot || !class.spot)
-                && machine_types
-                    .get(class.machine_type)
-                    .is_some_and(|t| demand.fit(t) > 0)
+/// Whether the scheduler may place a waiting task of the job on a machine that exists, boots or is
+/// requested, now or after tasks have ended that do not last.
+fn has_room(demand: &Demand, supply: &Supply, machine_types: &[MachineType]) -> bool {
+    (0..machine_types.len()).any(|machine_type| {
+        let fits = machine_types
+            .get(machine_type)
+            .is_some_and(|t| demand.fit(t) > 0);
+        fits && supply.has_room(&RoomQuery {
+            machine_type,
+            zones: &demand.zones,
+            spot: demand.spot,
+            resources: &demand.resources,
         })
-    }
+    })
 }
--- a/crates/controller/src/fleet/rentals.rs
+++ b/crates/controller/src/fleet/rentals.rs
@@ -9,7 +9,7 @@
 };
 use crate::calls::{FleetCall, Tag};
 use crate::leader_election::BLOCK_KEY;
-use crate::split::MachineClass;
+use crate::split::{MachineClass, Market};
 use crate::store::{CommitResponse, Outcome, Priority, ScanResponse, StoreClient};
 use beamhinge_core::types::{FencingToken, MachineId, Revision, Time};
 use beamhinge_core::wire;
@@ -25,15 +25,6 @@
 /// Pause after reading a record that this version cannot decode, seconds.
 const UNREADABLE_RECORD_PAUSE_S: f64 = 3_600.0;
 
-/// A market: the spot or on-demand machines of one machine type in one zone.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Market {
-    /// Index into the machine types.
-    pub(super) machine_type: usize,
-    pub(super) zone: String,
-    pub(super) spot: bool,
-}
-
 /// Progress of a rental.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RentalState {
--- a/crates/controller/src/fleet/scale_in.rs
+++ b/crates/controller/src/fleet/scale_in.rs
@@ -2,14 +2,14 @@
 //! batches.
 
 use super::instance::{Instance, ScaleInReason, ScaleInState};
+use super::scale_plan::Surplus;
 use super::term::LeaderTerm;
 use super::TickContext;
 use crate::scheduler::{Machine, Scheduler};
-use crate::split::{MachineClass, MachineType};
+use crate::split::{MachineType, Market};
 use beamhinge_admin_api::directives::Afterwards;
 use beamhinge_core::types::{MachineId, Time};
 use beamhinge_rate_limit::{AdaptiveBackoff, RetryAction};
-use std::collections::BTreeMap;
 
 /// Maximum number of machines in one release call.
 const MAX_MACHINES_PER_RELEASE: usize = 100;
@@ -117,7 +117,7 @@
     pub(super) fn scale_in_surplus(
         &mut self,
         context: &TickContext,
-        mut surplus: BTreeMap<MachineClass, u32>,
+        mut surplus: Surplus,
         machine_types: &[MachineType],
         scheduler: &mut Scheduler,
     ) {
@@ -144,8 +144,7 @@
                 let empty = machine.is_none_or(Machine::is_empty);
                 (empty && drain.afterwards == Afterwards::Return).then_some(ScaleInReason::Drained)
             } else {
-                let surplus = surplus.get_mut(&instance.class());
-                reason_not_needed(context, leader_for_s, instance, machine, surplus)
+                reason_not_needed(context, leader_for_s, instance, machine, &mut surplus)
             };
             let Some(reason) = reason else { continue };
             tracing::info!(machine = %id, %reason, "scaling in machine");
@@ -159,19 +158,18 @@
 }
 
 /// The reason why an empty machine is not needed; `None` if it is needed. An idle machine is
-/// deducted from `surplus`, the number of machines of its class in excess of the target.
+/// deducted from `surplus`.
 fn reason_not_needed(
     context: &TickContext,
     leader_for_s: f64,
     instance: &Instance,
     machine: Option<&Machine>,
-    surplus: Option<&mut u32>,
+    surplus: &mut Surplus,
 ) -> Option<ScaleInReason> {
     let machine = machine.filter(|m| m.is_empty())?;
     if machine.is_slow() {
         return Some(ScaleInReason::Slow);
     }
-    let surplus = surplus.filter(|n| **n > 0)?;
     // A rented machine is kept at least until the minimum charge is used up. Spot and owned
     // machines may be idle longer than on-demand machines, which cost more.
     let max_idle_s = match (instance.owned, instance.spot) {
@@ -187,6 +185,6 @@
     {
         return None;
     }
-    *surplus -= 1;
-    Some(ScaleInReason::Idle)
+    let market = Market::new(instance.class(), &instance.zone);
+    surplus.take(&market).then_some(ScaleInReason::Idle)
 }
--- a/crates/controller/src/fleet/scale_out.rs
+++ b/crates/controller/src/fleet/scale_out.rs
@@ -3,10 +3,11 @@
 use super::cloud_protocol::ScaleOutReply;
 use super::instance::Instance;
 use super::rental_record::RentalEntry;
-use super::rentals::{MachineRequest, Market, Rental};
+use super::rentals::{MachineRequest, Rental};
 use super::term::LeaderTerm;
+use crate::eligibility::ZoneScope;
 use crate::scheduler::Scheduler;
-use crate::split::{MachineClass, MachineType};
+use crate::split::{MachineClass, MachineType, Market};
 use beamhinge_admin_api::messages::DecisionKind;
 use beamhinge_core::settings::Settings;
 use beamhinge_core::types::{MachineId, Time};
@@ -42,61 +43,63 @@
         count: u32,
         machine_types: &[MachineType],
         settings: &Settings,
+    ) {
+        if self.rentals.open.iter().all(|r| r.class() != class) {
+            self.scale_out_in_zones(now, class, &ZoneScope::Any, count, machine_types, settings);
+        }
+    }
+
+    /// Requests `count` machines of a class in these zones, at most [`MAX_MACHINES_PER_SCALE_OUT`]
+    /// in total. Zones in which an earlier rental of the class is open are left out.
+    pub(super) fn scale_out_in_zones(
+        &mut self,
+        now: Time,
+        class: MachineClass,
+        zones: &ZoneScope,
+        count: u32,
+        machine_types: &[MachineType],
+        settings: &Settings,
     ) {
         let Some(machine_type) = machine_types.get(class.machine_type) else {
             return;
         };
-        if self.rentals.open.iter().any(|r| r.class() == class) {
-            return;
-        }
-        let shares = self.spread_over_zones(class, count, machine_type, settings);
+        let mut shares = self.open_zones(class, zones, machine_type, settings);
+        spread(&mut shares, count.min(MAX_MACHINES_PER_SCALE_OUT));
         for share in shares.iter().filter(|s| s.requested > 0) {
             let request = MachineRequest {
                 label: machine_type.label.clone(),
                 count: share.requested,
             };
-            let market = market(class, share.zone);
+            let market = Market::new(class, share.zone);
             self.rentals.request(now, self.token, &market, request);
         }
     }
 
-    /// Spreads a request over the zones that do not refuse the class. Each machine goes to the zone
-    /// with the fewest machines of the type.
-    fn spread_over_zones<'a>(
+    /// The zones that do not refuse the class and have no open rental of it.
+    fn open_zones<'a>(
         &self,
         class: MachineClass,
-        count: u32,
+        zones: &ZoneScope,
         machine_type: &'a MachineType,
         settings: &Settings,
     ) -> Vec<ZoneShare<'a>> {
-        let zones = &settings.params.zones;
-        let mut shares: Vec<ZoneShare> = machine_type
+        let configured = &settings.params.zones;
+        machine_type
             .zones
             .iter()
-            .filter(|zone| zones.is_empty() || zones.contains(zone))
+            .filter(|zone| configured.is_empty() || configured.contains(zone))
+            .filter(|zone| zones.contains(zone))
             .filter(|zone| {
-                !self
-                    .rentals
-                    .refused_markets
-                    .contains_key(&market(class, zone))
+                let market = Market::new(class, zone);
+                !self.rentals.refused_markets.contains_key(&market)
+                    && self.rentals.open.iter().all(|r| r.market() != market)
             })
             .map(|zone| ZoneShare {
                 zone,
                 machines: self.machines_in_zone(class.machine_type, zone),
                 requested: 0,
             })
-            .collect();
-        if shares.is_empty() {
-            return shares;
-        }
-        for _ in 0..count.min(MAX_MACHINES_PER_SCALE_OUT) {
-            shares.sort_by_key(|s| (s.machines, s.zone));
-            if let Some(smallest) = shares.first_mut() {
-                smallest.machines += 1;
-                smallest.requested += 1;
-            }
-        }
-        shares
+            .collect()
     }
 
     fn machines_in_zone(&self, machine_type: usize, zone: &str) -> u32 {
@@ -226,10 +229,13 @@
     }
 }
 
-fn market(class: MachineClass, zone: &str) -> Market {
-    Market {
-        machine_type: class.machine_type,
-        zone: zone.to_string(),
-        spot: class.spot,
+/// Spreads a request over zones: each machine goes to the zone with the fewest machines.
+fn spread(shares: &mut [ZoneShare], count: u32) {
+    for _ in 0..count {
+        shares.sort_by_key(|s| (s.machines, s.zone));
+        if let Some(smallest) = shares.first_mut() {
+            smallest.machines += 1;
+            smallest.requested += 1;
+        }
     }
 }
--- a/crates/controller/src/fleet/scale_plan.rs
+++ b/crates/controller/src/fleet/scale_plan.rs
@@ -1,13 +1,16 @@
 //! Compares the existing machines of each class with the target capacity.
 
 use super::instance::{Instance, InstanceStatus};
-use super::rentals::{Market, Rental};
+use super::rentals::Rental;
 use super::term::{listing_delay_s, LeaderTerm};
 use super::TickContext;
-use crate::capacity_planner::{FreeCapacity, TargetCapacity};
+use crate::capacity_planner::{CapacityTargets, PlanInputs, TargetCapacity, ZonalTarget};
 use crate::directives::ActiveDirectives;
+use crate::eligibility::ZoneScope;
 use crate::scheduler::{Machine, Scheduler};
-use crate::split::{MachineClass, MachineType, MarketObservation};
+use crate::split::{MachineClass, MachineType, Market, MarketObservation, RefusedMarkets};
+use crate::supply::{Supply, Vacancy};
+use beamhinge_core::settings::Settings;
 use beamhinge_core::types::{MachineId, Time};
 use std::collections::BTreeMap;
 
@@ -22,12 +25,12 @@
 struct Capacity {
     /// Number of machines that count as capacity, by class.
     machines: BTreeMap<MachineClass, u32>,
-    /// The same by class and zone.
-    machines_by_zone: BTreeMap<(MachineClass, String), u32>,
+    /// The same by market.
+    machines_by_market: BTreeMap<Market, u32>,
     /// Number of those that have reported, by class.
     reporting: BTreeMap<MachineClass, u32>,
-    /// CPUs and the time until they become free, by machine type.
-    free_capacity: BTreeMap<usize, FreeCapacity>,
+    /// The same machines as room for tasks.
+    supply: Supply,
     owned_cpus: f64,
     idle_owned_cpus: f64,
     /// Expected number of shielded machines that is not yet included in `machines`, by class;
@@ -46,8 +49,8 @@
 
     fn add_machines(&mut self, class: MachineClass, zone: &str, count: u32) {
         *self.machines.entry(class).or_default() += count;
-        let in_zone = self.machines_by_zone.entry((class, zone.to_string()));
-        *in_zone.or_default() += count;
+        let market = Market::new(class, zone);
+        *self.machines_by_market.entry(market).or_default() += count;
     }
 
     /// Counts a machine behind a link suspected to be broken as a fraction, which decreases as it
@@ -59,13 +62,23 @@
         if *credit >= 1.0 {
             *credit -= 1.0;
             self.add_machines(class, &instance.zone, 1);
-            self.free_capacity
-                .entry(class.machine_type)
-                .or_default()
-                .push((machine_type.boot_s, machine_type.cpus));
+            self.add_empty_machine(class, &instance.zone, machine_type, machine_type.boot_s);
         }
     }
 
+    /// Adds a machine without tasks as room that is free after some time.
+    fn add_empty_machine(
+        &mut self,
+        class: MachineClass,
+        zone: &str,
+        machine_type: &MachineType,
+        ready_s: f64,
+    ) {
+        let vacancy = Vacancy::whole(machine_type);
+        let free = [(ready_s, machine_type.cpus)];
+        self.supply.add_machine(class, zone, vacancy, free);
+    }
+
     /// Adds a machine that is up or booting.
     fn add_instance(
         &mut self,
@@ -79,17 +92,15 @@
         let machine = scheduler.machine(id);
         let machine_type = machine_types.get(class.machine_type);
         self.add_machines(class, &instance.zone, 1);
-        let free = self.free_capacity.entry(class.machine_type).or_default();
         if machine.is_some_and(|m| m.last_heartbeat().is_some()) {
             *self.reporting.entry(class).or_default() += 1;
-            scheduler.capacity_over_time(now, id, machine_types, free);
+            let zone = &instance.zone;
+            scheduler.add_supply(now, id, class, zone, machine_types, &mut self.supply);
         } else if let Some(machine_type) = machine_type {
             let boot_s = machine_type.boot_s;
             let remaining_s = boot_s * BOOT_TIME_FACTOR - now.since(instance.rented_at);
-            free.push((
-                remaining_s.max(boot_s * MIN_REMAINING_BOOT_FRACTION),
-                machine_type.cpus,
-            ));
+            let ready_s = remaining_s.max(boot_s * MIN_REMAINING_BOOT_FRACTION);
+            self.add_empty_machine(class, &instance.zone, machine_type, ready_s);
         }
         if instance.owned {
             let cpus = machine_type.map_or(0.0, |t| t.cpus);
@@ -105,9 +116,10 @@
         let (class, count) = (rental.class(), rental.entry.count);
         self.add_machines(class, &rental.entry.zone, count);
         if let Some(machine_type) = machine_types.get(class.machine_type) {
-            let free = self.free_capacity.entry(class.machine_type).or_default();
             let ready_s = machine_type.boot_s * BOOT_TIME_FACTOR;
-            free.extend((0..count).map(|_| (ready_s, machine_type.cpus)));
+            for _ in 0..count {
+                self.add_empty_machine(class, &rental.entry.zone, machine_type, ready_s);
+            }
         }
     }
 }
@@ -115,11 +127,21 @@
 /// Target number of machines.
 #[derive(Default)]
 struct Targets {
+    /// In all zones together, by class.
     machines: BTreeMap<MachineClass, u32>,
+    /// Machines that are missing in certain zones.
+    zonal: Vec<ZonalRequest>,
     /// Observation of the spot market; `None` while no spot machines are wanted.
     observation: Option<MarketObservation>,
 }
 
+/// Machines of one class to be requested in certain zones.
+struct ZonalRequest {
+    class: MachineClass,
+    zones: ZoneScope,
+    count: u32,
+}
+
 impl LeaderTerm {
     /// Compares existing capacity with target capacity, requests missing machines and marks
     /// surplus machines for return.
@@ -131,7 +153,7 @@
         scheduler: &mut Scheduler,
     ) {
         let now = context.now;
-        let demands = scheduler.demands(context.wall);
+        let demands = scheduler.demands(context.wall, machine_types);
         // No capacity is planned for drained machine types and zones. Without directives the
         // machine types are used unchanged.
         let active_directives = scheduler.active_directives().clone();
@@ -140,33 +162,60 @@
         let offered = undrained.as_deref().unwrap_or(machine_types);
         self.expire_rentals(now, list_lag_s);
         let capacity = self.count_capacity(now, machine_types, &active_directives, scheduler);
-        let target_capacity_by_type = self.planner.target_capacity(
+        let refused: RefusedMarkets = self.rentals.refused_markets.keys().cloned().collect();
+        let planned = self.planner.target_capacity(&PlanInputs {
             now,
-            &demands,
-            offered,
-            context.settings,
-            capacity.owned_cpus,
-            &capacity.free_capacity,
-        );
-        let targets = self.target_machines(&target_capacity_by_type, &capacity, offered);
+            demands: &demands,
+            machine_types: offered,
+            settings: context.settings,
+            owned_cpus: capacity.owned_cpus,
+            supply: &capacity.supply,
+            refused: &refused,
+        });
+        let targets = self.target_machines(&planned, &capacity, offered);
         if let Some(observation) = targets.observation {
             self.planner.observe_market(now, observation);
         }
         if self.listing.is_complete() {
-            for (class, wanted) in &targets.machines {
-                let count = capacity.count(*class);
-                if *wanted > count {
-                    self.scale_out(now, *class, wanted - count, offered, context.settings);
-                }
-            }
+            self.request_missing(now, &targets, &capacity, offered, context.settings);
         }
-        let surplus = surplus(&capacity, &targets);
+        let surplus = surplus(&capacity, &targets, &planned.needed_in_zone);
+        let supply = capacity.supply;
         self.report.wanted = targets.machines;
-        self.report.counted = capacity.machines_by_zone;
-        self.report_jobs_without_machine(now, context.wall, &demands, offered, scheduler);
+        self.report.counted = capacity.machines_by_market;
+        self.report_jobs_without_machine(context, &demands, &supply, offered, scheduler);
         self.scale_in_surplus(context, surplus, machine_types, scheduler);
     }
 
+    /// Requests the missing machines: those for certain zones there, the others in any zone.
+    fn request_missing(
+        &mut self,
+        now: Time,
+        targets: &Targets,
+        capacity: &Capacity,
+        offered: &[MachineType],
+        settings: &Settings,
+    ) {
+        let mut requested: BTreeMap<MachineClass, u32> = BTreeMap::new();
+        for request in &targets.zonal {
+            self.scale_out_in_zones(
+                now,
+                request.class,
+                &request.zones,
+                request.count,
+                offered,
+                settings,
+            );
+            *requested.entry(request.class).or_default() += request.count;
+        }
+        for (class, wanted) in &targets.machines {
+            let count = capacity.count(*class) + requested.get(class).copied().unwrap_or(0);
+            if *wanted > count {
+                self.scale_out(now, *class, wanted - count, offered, settings);
+            }
+        }
+    }
+
     /// Removes expired market refusals and recorded rentals. After a failover the cloud's list may
     /// not show earlier rentals yet, so recorded rentals count until the list must show them.
     fn expire_rentals(&mut self, now: Time, list_lag_s: f64) {
@@ -226,36 +275,42 @@
         capacity
     }
 
-    /// Target number of machines of each class, and the observation of the spot market.
+    /// Target number of machines of each class, those to be requested in certain zones, and the
+    /// observation of the spot market.
     fn target_machines(
         &self,
-        target_capacity_by_type: &BTreeMap<usize, TargetCapacity>,
+        planned: &CapacityTargets,
         capacity: &Capacity,
         offered: &[MachineType],
     ) -> Targets {
-        let mut targets = Targets::default();
+        let mut targets = Targets {
+            zonal: self.zonal_requests(&planned.zonal, offered),
+            ..Targets::default()
+        };
         let (mut spot_wanted, mut spot_reporting) = (0.0, 0.0);
         let (mut price, mut max_cost) = (1.0, 0.0);
         for (index, machine_type) in offered.iter().enumerate() {
-            let target = target_capacity_by_type
-                .get(&index)
-                .copied()
-                .unwrap_or_default();
+            let target = planned.by_type.get(&index).copied().unwrap_or_default();
             let class = |spot| MachineClass {
                 machine_type: index,
                 spot,
             };
+            let existing = |class| {
+                let requested = targets.zonal.iter().filter(|r| r.class == class);
+                f64::from(capacity.count(class) + requested.map(|r| r.count).sum::<u32>())
+            };
             let existing = MachineCounts {
-                spot: f64::from(capacity.count(class(true))),
-                on_demand: f64::from(capacity.count(class(false))),
+                spot: existing(class(true)),
+                on_demand: existing(class(false)),
             };
-            let refused = self.is_spot_refused(index, machine_type);
+            let refused = self.is_spot_refused(index, machine_type, &ZoneScope::Any);
             let (spot, on_demand) = target_counts(&target, existing, refused);
             targets.machines.insert(class(true), spot);
             targets.machines.insert(class(false), on_demand);
-            let cost = target.spot * machine_type.low_price;
-            spot_wanted += target.spot;
-            spot_reporting += f64::from(capacity.count_reporting(class(true))).min(target.spot);
+            let wanted = target.spot_demand;
+            let cost = wanted * machine_type.low_price;
+            spot_wanted += wanted;
+            spot_reporting += f64::from(capacity.count_reporting(class(true))).min(wanted);
             if cost > max_cost && machine_type.rate > 0.0 {
                 max_cost = cost;
                 price = machine_type.low_price / machine_type.rate;
@@ -271,28 +326,93 @@
         targets
     }
 
-    /// Whether every zone of the machine type has recently refused spot machines.
-    fn is_spot_refused(&self, index: usize, machine_type: &MachineType) -> bool {
-        machine_type.zones.iter().all(|zone| {
-            self.rentals.refused_markets.contains_key(&Market {
-                machine_type: index,
-                zone: zone.clone(),
-                spot: true,
+    /// The machines to be requested in certain zones.
+    fn zonal_requests(&self, zonal: &[ZonalTarget], offered: &[MachineType]) -> Vec<ZonalRequest> {
+        let mut requests = Vec::new();
+        for target in zonal {
+            let Some(machine_type) = offered.get(target.machine_type) else {
+                continue;
+            };
+            let refused = self.is_spot_refused(target.machine_type, machine_type, &target.zones);
+            let (spot, on_demand) =
+                target_counts(&target.missing, MachineCounts::default(), refused);
+            for (spot, count) in [(true, spot), (false, on_demand)] {
+                let class = MachineClass {
+                    machine_type: target.machine_type,
+                    spot,
+                };
+                if count > 0 {
+                    requests.push(ZonalRequest {
+                        class,
+                        zones: target.zones.clone(),
+                        count,
+                    });
+                }
+            }
+        }
+        requests
+    }
+
+    /// Whether every one of these zones of the machine type has recently refused spot machines.
+    fn is_spot_refused(&self, index: usize, machine_type: &MachineType, zones: &ZoneScope) -> bool {
+        let class = MachineClass {
+            machine_type: index,
+            spot: true,
+        };
+        machine_type
+            .zones
+            .iter()
+            .filter(|zone| zones.contains(zone))
+            .all(|zone| {
+                let market = Market::new(class, zone);
+                self.rentals.refused_markets.contains_key(&market)
             })
-        })
     }
 }
 
-/// Number of machines in excess of the target, by class.
-fn surplus(capacity: &Capacity, targets: &Targets) -> BTreeMap<MachineClass, u32> {
-    let mut surplus = BTreeMap::new();
+/// Machines in excess of the target.
+pub(super) struct Surplus {
+    /// In all zones together, by class.
+    by_class: BTreeMap<MachineClass, u32>,
+    /// By market: machines without which the jobs that are limited to its zone have enough.
+    by_market: BTreeMap<Market, u32>,
+}
+
+impl Surplus {
+    /// Takes one machine of the market from the surplus; false if the machine is needed.
+    pub(super) fn take(&mut self, market: &Market) -> bool {
+        let in_class = self.by_class.get_mut(&market.class());
+        let in_market = self.by_market.get_mut(market);
+        match (in_class, in_market) {
+            (Some(in_class), Some(in_market)) if *in_class > 0 && *in_market > 0 => {
+                *in_class -= 1;
+                *in_market -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+fn surplus(
+    capacity: &Capacity,
+    targets: &Targets,
+    needed_in_zone: &BTreeMap<Market, u32>,
+) -> Surplus {
+    let mut by_class = BTreeMap::new();
     for (class, count) in &capacity.machines {
         let wanted = targets.machines.get(class).copied().unwrap_or(0);
-        if *count > wanted {
-            surplus.insert(*class, count - wanted);
-        }
+        by_class.insert(*class, count.saturating_sub(wanted));
+    }
+    let mut by_market = BTreeMap::new();
+    for (market, count) in &capacity.machines_by_market {
+        let needed = needed_in_zone.get(market).copied().unwrap_or(0);
+        by_market.insert(market.clone(), count.saturating_sub(needed));
+    }
+    Surplus {
+        by_class,
+        by_market,
     }
-    surplus
 }
 
 /// The fraction of a machine behind a broken link that counts as capacity, from 1 (it is expected
@@ -327,7 +447,7 @@
 }
 
 /// Existing and requested machines of one type.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct MachineCounts {
     spot: f64,
     on_demand: f64,
@@ -337,7 +457,8 @@
 /// refuses spot machines of this type.
 ///
 /// Required capacity that is neither present nor on its way is rented on demand only where spot
-/// is refused. Existing on-demand machines take over part of the work.
+/// is refused. Existing on-demand machines take
+/// over part of the work.
 fn target_counts(
     target: &TargetCapacity,
     existing: MachineCounts,
--- a/crates/controller/src/fleet/scale_plan/tests.rs
+++ b/crates/controller/src/fleet/scale_plan/tests.rs
@@ -3,10 +3,10 @@
 fn target(spot: f64, standby: f64, shortfall: f64, on_demand: f64) -> TargetCapacity {
     TargetCapacity {
         spot,
-        timely: 0.0,
         standby,
         shortfall,
         on_demand,
+        ..TargetCapacity::default()
     }
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity_planner;
 pub mod configuration;
 pub mod directives;
+pub mod eligibility;
 pub mod event_log;
 pub mod faults;
 pub mod fleet;
@@ -25,6 +26,7 @@
 pub mod scheduler;
 pub mod split;
 pub mod store;
+pub mod supply;
 pub mod user_api;
 pub mod worker_protocol;
 
--- a/crates/controller/src/node/admin/leader_queries.rs
+++ b/crates/controller/src/node/admin/leader_queries.rs
@@ -217,7 +217,7 @@
         if placed.waiting == 0 || placed.reasons.iter().any(|r| blocks_placement(r.name())) {
             return Some(placed);
         }
-        if let Some((demand, spec)) = scheduler.demand_of(wall, id) {
+        if let Some((demand, spec)) = scheduler.demand_of(wall, id, machine_types) {
             let reasons = self.fleet.explain_pending_job(
                 now,
                 wall,
--- a/crates/controller/src/scheduler/aging.rs
+++ b/crates/controller/src/scheduler/aging.rs
@@ -8,10 +8,11 @@
 use super::allocation::Allocation;
 use super::bin_packing::PlacementPass;
 use super::cycle::SchedulingCycle;
-use super::feasibility::{is_feasible, violates_zone_rule, ZoneCounts};
+use super::feasibility::is_feasible;
 use super::job::Job;
 use super::machine::Machine;
 use super::{age_s, Scheduler};
+use crate::eligibility::{violates_zone_rule, ZoneCounts};
 use crate::job_store::{JobKind, JobSpec};
 use crate::split::MachineType;
 use beamhinge_admin_api::reasons::Reason;
--- a/crates/controller/src/scheduler/bin_packing.rs
+++ b/crates/controller/src/scheduler/bin_packing.rs
@@ -3,10 +3,11 @@
 
 use super::allocation::Allocation;
 use super::cycle::{MachineCapacity, SchedulingCycle};
-use super::feasibility::{is_feasible, violates_zone_rule};
+use super::feasibility::is_feasible;
 use super::job::resources_of;
 use super::machine::Machine;
 use super::Scheduler;
+use crate::eligibility::violates_zone_rule;
 use crate::job_store::JobSpec;
 use crate::split::Resources;
 use beamhinge_admin_api::messages::DecisionKind;
--- a/crates/controller/src/scheduler/cycle.rs
+++ b/crates/controller/src/scheduler/cycle.rs
@@ -1,11 +1,11 @@
 //! State of one scheduling cycle: free capacity, usage of each team and intermediate results. All
 //! code that places tasks shares it, and it is dropped at the end of the cycle.
 
-use super::feasibility::ZoneCounts;
 use super::machine::Machine;
 use super::quota::TeamUsage;
 use super::victims::PreemptionPlan;
 use super::Scheduler;
+use crate::eligibility::ZoneCounts;
 use crate::faults::fault_injected;
 use crate::placement_pages;
 use crate::split::{MachineType, Resources, EPSILON};
@@ -110,7 +110,7 @@
             machine_types,
             capacities: Vec::new(),
             team_usage: vec![TeamUsage::default(); self.teams.len()],
-            tasks_by_zone: BTreeMap::new(),
+            tasks_by_zone: self.tasks_by_zone(),
             remaining_placements: max_placements.saturating_sub(self.commit_queue.len()),
             max_free_cpus: 0.0,
             filling_priority_lane: false,
@@ -124,28 +124,42 @@
         cycle
     }
 
-    /// Counts the tasks on a machine towards the usage of their teams and the zones of their jobs.
+    /// Counts the tasks on a machine towards the usage of their teams.
     fn count_tasks(&self, machine: &Machine, cycle: &mut SchedulingCycle) {
-        for (task, allocation) in &machine.resident.allocations {
+        for allocation in machine.resident.allocations.values() {
             // Guard: a task that is being stopped counts until its end is proven.
             let excluded = allocation.kill_grace_s.is_some()
                 && fault_injected!(self.faults, stopping_tasks_not_counted);
             if let Some(team) = allocation.team.filter(|_| !excluded) {
                 cycle.team_usage[team].add(&allocation.resources);
             }
-            if self.has_zone_rule(task.job) {
-                cycle.count_in_zone(task.job, &machine.identity.zone);
-            }
         }
         for orphan in &machine.resident.orphans {
             if let Some(team) = orphan.team {
                 cycle.team_usage[team].add(&orphan.resources);
             }
+        }
+    }
+
+    /// Number of tasks by zone of each job that has a zone rule and tasks on machines.
+    pub(super) fn tasks_by_zone(&self) -> BTreeMap<JobId, ZoneCounts> {
+        let mut counts: BTreeMap<JobId, ZoneCounts> = BTreeMap::new();
+        if !self.jobs.keys().any(|id| self.has_zone_rule(*id)) {
+            return counts;
+        }
+        for machine in self.machines.values() {
+            let resident = &machine.resident;
+            let allocated = resident.allocations.keys().map(|task| task.job);
             // Guards against `wrong_place`: an orphan task also occupies a zone of its job.
-            if self.has_zone_rule(orphan.task.job) {
-                cycle.count_in_zone(orphan.task.job, &machine.identity.zone);
+            let orphaned = resident.orphans.iter().map(|orphan| orphan.task.job);
+            for job in allocated.chain(orphaned) {
+                if self.has_zone_rule(job) {
+                    let zone = machine.identity.zone.clone();
+                    *counts.entry(job).or_default().entry(zone).or_default() += 1;
+                }
             }
         }
+        counts
     }
 
     /// Whether the job has a zone rule. Existing tasks are counted by zone only for such jobs.
--- a/crates/controller/src/scheduler/explain.rs
+++ b/crates/controller/src/scheduler/explain.rs
@@ -4,14 +4,14 @@
 //! same limits and the same checks of each machine.
 
 use super::allocation::{Allocation, TaskPhase, TaskState};
-use super::feasibility::{
-    unschedulable_reason, violates_zone_rule, BlockingReason, UnschedulableReason, ZoneCounts,
-};
+use super::demand::offered_zones;
+use super::feasibility::{unschedulable_reason, BlockingReason};
 use super::job::Job;
 use super::machine::Machine;
 use super::queue::PauseReason;
 use super::{age_s, Scheduler};
 use crate::directives::ActiveDirectives;
+use crate::eligibility::{violates_zone_rule, IneligibleReason, ZoneCounts};
 use crate::job_store::{JobSpec, JobState};
 use crate::split::{Demand, MachineType};
 use beamhinge_admin_api::messages::{JobPlacement, MachineRow, TaskRow, TeamRow, MAX_ROWS};
@@ -86,11 +86,11 @@
 
 impl FeasibilityReport {
     /// Counts a machine under the constraint of the job that it does not meet.
-    fn count_unschedulable(&mut self, reason: UnschedulableReason) {
+    fn count_unschedulable(&mut self, reason: IneligibleReason) {
         match reason {
-            UnschedulableReason::MachineType => self.tally.other_machine_type += 1,
-            UnschedulableReason::Zone => self.tally.other_zone += 1,
-            UnschedulableReason::Spot => self.tally.spot += 1,
+            IneligibleReason::MachineType => self.tally.other_machine_type += 1,
+            IneligibleReason::Zone => self.tally.other_zone += 1,
+            IneligibleReason::Spot => self.tally.spot += 1,
         }
     }
 
@@ -326,9 +326,17 @@
     }
 
     /// Demand of one job, as passed to fleet scaling; `None` if the job is unknown.
-    pub fn demand_of(&self, wall: WallMs, id: JobId) -> Option<(Demand, Rc<JobSpec>)> {
+    pub fn demand_of(
+        &self,
+        wall: WallMs,
+        id: JobId,
+        machine_types: &[MachineType],
+    ) -> Option<(Demand, Rc<JobSpec>)> {
         let job = self.jobs.get(&id)?;
-        Some((self.demand(wall, id, job), job.spec.clone()))
+        let zones = offered_zones(machine_types);
+        let tasks_by_zone = self.tasks_by_zone();
+        let demand = self.demand(wall, id, job, &tasks_by_zone, &zones);
+        Some((demand, job.spec.clone()))
     }
 
     /// The operator directives in force.
--- a/crates/controller/src/split.rs
+++ b/crates/controller/src/split.rs
@@ -16,9 +16,11 @@
 mod policy;
 
 pub use beamhinge_core::resources::{Resources, EPSILON};
-pub use demand::{cheapest_type, exclusive_types, sequential_tasks, Demand, TypeChoice};
+pub use demand::{
+    cheapest_type, exclusive_types, sequential_tasks, Demand, RefusedMarkets, TypeChoice,
+};
 pub use learner::{replay_cost, Learner, MarketObservation, ReplayedJob};
-pub use machine_type::{allowed_fit, MachineClass, MachineType};
+pub use machine_type::{tasks_that_fit, MachineClass, MachineType, Market};
 pub use policy::{
     final_on_demand, owned_machines, parameter_grid, slackness, split, split_remainder, spot_bids,
     PolicyParameters, Split,
--- a/crates/controller/src/split/demand.rs
+++ b/crates/controller/src/split/demand.rs
@@ -1,8 +1,10 @@
 //! The remaining demand of a job, and the machine type on which it is cheapest.
 
-use super::machine_type::{allowed_fit, MachineType};
+use super::machine_type::{MachineClass, MachineType, Market};
+use crate::eligibility::{Constraints, ZoneScope};
 use beamhinge_core::resources::Resources;
 use beamhinge_core::types::JobId;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Machine types whose costs differ by at most this fraction count as equally cheap.
@@ -12,6 +14,9 @@
 /// Maximum number of tasks planned to run in sequence on one slot.
 const MAX_SEQUENTIAL_TASKS: f64 = 16.0;
 
+/// Markets that recently refused a request.
+pub type RefusedMarkets = BTreeSet<Market>;
+
 /// The remaining demand of one job.
 #[derive(Clone, Debug)]
 pub struct Demand {
@@ -41,19 +46,51 @@
     pub spot: bool,
     /// Labels of the machine types that the job may use; `None` for all.
     pub machine_types: Option<Vec<String>>,
-    /// The zone that the job requires; `None` for any.
-    pub zone: Option<String>,
+    /// Zones in which its waiting tasks may be placed now.
+    pub zones: ZoneScope,
+    /// Zones that its placed tasks may use.
+    pub placed_zones: ZoneScope,
 }
 
 impl Demand {
     /// Number of the job's tasks that fit an empty machine of the type.
     pub fn fit(&self, machine_type: &MachineType) -> u32 {
-        allowed_fit(
-            machine_type,
-            &self.resources,
-            &self.machine_types,
-            &self.zone,
-        )
+        let constraints = Constraints {
+            machine_types: self.machine_types.as_deref(),
+            zone: None,
+            spot: self.spot,
+        };
+        if machine_type.zones.iter().any(|zone| self.may_use(zone)) {
+            constraints.fit(machine_type, &self.resources)
+        } else {
+            0
+        }
+    }
+
+    /// Whether its tasks may be placed in the zone: its waiting tasks, if there are any.
+    pub fn may_use(&self, zone: &str) -> bool {
+        if self.waiting() > 0 {
+            self.zones.contains(zone)
+        } else {
+            self.placed_zones.contains(zone)
+        }
+    }
+
+    /// Whether every market of the type that its tasks may use recently refused a request.
+    pub fn is_refused(
+        &self,
+        machine_type: usize,
+        zones: &[String],
+        refused: &RefusedMarkets,
+    ) -> bool {
+        let is_refused = |zone: &str, spot| {
+            let class = MachineClass { machine_type, spot };
+            refused.contains(&Market::new(class, zone))
+        };
+        zones
+            .iter()
+            .filter(|zone| self.may_use(zone))
+            .all(|zone| is_refused(zone, false) && (!self.spot || is_refused(zone, true)))
     }
 
     /// Number of tasks that are not placed.
--- a/crates/controller/src/split/machine_type.rs
+++ b/crates/controller/src/split/machine_type.rs
@@ -42,41 +42,23 @@
 
     /// Number of tasks with these resources that one machine runs at once.
     pub fn max_tasks(&self, resources: &Resources) -> u32 {
-        let quotient = |available: f64, requested: f64| {
-            if requested > 0.0 {
-                ((available + EPSILON) / requested).floor()
-            } else {
-                f64::MAX
-            }
-        };
-        let tasks = quotient(self.cpus, resources.cpus)
-            .min(quotient(self.gpus, resources.gpus))
-            .min(quotient(self.memory_gb, resources.memory_gb));
-        tasks.clamp(0.0, MAX_TASKS_PER_MACHINE) as u32
+        tasks_that_fit(&self.capacity(), resources)
     }
 }
 
-/// Number of a job's tasks that fit a machine of the type; 0 if the job may not use the type, or
-/// requires a zone in which it is not offered.
-pub fn allowed_fit(
-    machine_type: &MachineType,
-    resources: &Resources,
-    allowed_types: &Option<Vec<String>>,
-    zone: &Option<String>,
-) -> u32 {
-    if allowed_types
-        .as_ref()
-        .is_some_and(|labels| !labels.contains(&machine_type.label))
-    {
-        return 0;
-    }
-    if zone
-        .as_ref()
-        .is_some_and(|zone| !machine_type.zones.contains(zone))
-    {
-        return 0;
-    }
-    machine_type.max_tasks(resources)
+/// Number of tasks with these resources that fit the available resources of one machine at once.
+pub fn tasks_that_fit(available: &Resources, resources: &Resources) -> u32 {
+    let quotient = |available: f64, requested: f64| {
+        if requested > 0.0 {
+            ((available + EPSILON) / requested).floor()
+        } else {
+            f64::MAX
+        }
+    };
+    let tasks = quotient(available.cpus, resources.cpus)
+        .min(quotient(available.gpus, resources.gpus))
+        .min(quotient(available.memory_gb, resources.memory_gb));
+    tasks.clamp(0.0, MAX_TASKS_PER_MACHINE) as u32
 }
 
 /// All spot machines, or all on-demand machines, of one type.
@@ -87,3 +69,33 @@
     /// Whether these are spot machines; otherwise they are on-demand machines.
     pub spot: bool,
 }
+
+/// A market: the spot or on-demand machines of one machine type in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Market {
+    /// Index into the machine types.
+    pub machine_type: usize,
+    /// The zone.
+    pub zone: String,
+    /// Whether these are spot machines; otherwise they are on-demand machines.
+    pub spot: bool,
+}
+
+impl Market {
+    /// The market of a class in a zone.
+    pub fn new(class: MachineClass, zone: &str) -> Market {
+        Market {
+            machine_type: class.machine_type,
+            zone: zone.to_string(),
+            spot: class.spot,
+        }
+    }
+
+    /// The class of its machines.
+    pub fn class(&self) -> MachineClass {
+        MachineClass {
+            machine_type: self.machine_type,
+            spot: self.spot,
+        }
+    }
+}
--- a/crates/controller/src/user_api/feasibility.rs
+++ b/crates/controller/src/user_api/feasibility.rs
@@ -1,5 +1,6 @@
 //! Feasibility of jobs: decides whether a job can ever run in this cluster.
 
+use crate::eligibility::Constraints;
 use crate::job_store::{self, JobKind, JobSpec};
 use crate::split::{self, MachineType, Resources};
 use beamhinge_configuration::{EffectiveTeam, Quota};
@@ -49,9 +50,8 @@
         gpus: spec.gpus,
         memory_gb: spec.memory_gb,
     };
-    let fits = |machine_type: &MachineType| {
-        split::allowed_fit(machine_type, &resources, &spec.machine_types, &spec.zone) > 0
-    };
+    let fits =
+        |machine_type: &MachineType| Constraints::from(spec).fit(machine_type, &resources) > 0;
     if machine_types.iter().any(fits) {
         Feasibility::Feasible
     } else {
--- a/crates/sim/tests/found.rs
+++ b/crates/sim/tests/found.rs
@@ -103,6 +103,7 @@
 #[test]
 fn days_of_combined_faults_violate_no_rule() {
     let days: Vec<_> = (0..24)
+        .chain(150..180)
         .map(|n| combined_faults::generate(4, n, (6.0, 30.0)))
         .collect();
     std::thread::scope(|scope| {
@@ -116,7 +117,7 @@
             });
         }
     });
-    // These days can find a fault: without the serving deadline at least one of them lets a
+    // These days can find a fault: without the serving deadline at least two of them let a
     // cancelled task run too long.
     let without = Faults {
         no_serving_deadline: true,
@@ -124,6 +125,9 @@
     };
     let found = days
         .iter()
-        .any(|d| scenario::play(&d.text, without).expect("a day").violations == ["ran_cancelled"]);
-    assert!(found);
+        .filter(|d| {
+            scenario::play(&d.text, without).expect("a day").violations == ["ran_cancelled"]
+        })
+        .count();
+    assert!(found >= 2, "found on {found} days");
 }
