Rent an on-demand machine for a job that no machine admits where spot is refused

Callers saw: an array that has missed its deadline stays pending for ever while every zone refuses spot machines and no machine is there. Cause: late work may wait for spot machines, and only timely work or a shortfall is rented on demand; that there is no machine at all to wait for was not asked. Now one on-demand machine is rented for such jobs. Test: late_array_while_all_spot_is_refused failed before.

--- a/crates/controller/src/fleet/scale_plan.rs
+++ b/crates/controller/src/fleet/scale_plan.rs
@@ -457,7 +457,7 @@
 /// refuses spot machines of this type.
 ///
 /// Required capacity that is neither present nor on its way is rented on demand only where spot
-/// is refused. Existing on-demand machines take
+/// is refused; so is one machine for jobs that no machine admits. Existing on-demand machines take
 /// over part of the work.
 fn target_counts(
     target: &TargetCapacity,
@@ -474,6 +474,12 @@
             (required_on_demand + extra_on_demand + round_up(target.shortfall)) as u32,
         );
     }
+    if spot_refused && target.unserved {
+        return (
+            round_up(target.spot + target.standby) as u32,
+            (required_on_demand + extra_on_demand + 1.0) as u32,
+        );
+    }
     if spot_refused && round_up(target.timely) > existing.spot + extra_on_demand {
         return (
             round_up(target.spot + target.standby) as u32,
