A request that its market refuses counts as no machine and does not block other zones

Callers saw: after a lost answer of the cloud, for a zone without capacity, nothing of that type is rented in any zone. Cause: the request is repeated under its name, which is needed, but counted as a machine on its way, and no other request of its class was made meanwhile. Now such a request is left out of both while its market refuses it. Test: refused_request_of_unknown_outcome_in_one_zone failed before.

--- a/crates/controller/src/fleet/rentals.rs
+++ b/crates/controller/src/fleet/rentals.rs
@@ -153,6 +153,14 @@
         });
     }
 
+    /// The open rentals that may still bring machines: not those that are only repeated, under
+    /// their name, because an earlier call had no reply, while their market refuses them.
+    pub(super) fn promising(&self) -> impl Iterator<Item = &Rental> {
+        self.open
+            .iter()
+            .filter(|rental| !self.refused_markets.contains_key(&rental.market()))
+    }
+
     /// Marks the rentals that may be sent now as in flight and returns their calls.
     pub(super) fn begin_ready_calls(&mut self, now: Time) -> Vec<CloudCall> {
         let ready = self
--- a/crates/controller/src/fleet/scale_out.rs
+++ b/crates/controller/src/fleet/scale_out.rs
@@ -35,7 +35,8 @@
 
 impl LeaderTerm {
     /// Requests `count` machines of a class, at most [`MAX_MACHINES_PER_SCALE_OUT`] in
-    /// total, spread over the zones. Does nothing while an earlier rental of the class is open.
+    /// total, spread over the zones. Does nothing while an earlier rental of the class may still
+    /// bring machines.
     pub(super) fn scale_out(
         &mut self,
         now: Time,
@@ -44,7 +45,7 @@
         machine_types: &[MachineType],
         settings: &Settings,
     ) {
-        if self.rentals.open.iter().all(|r| r.class() != class) {
+        if self.rentals.promising().all(|r| r.class() != class) {
             self.scale_out_in_zones(now, class, &ZoneScope::Any, count, machine_types, settings);
         }
     }
--- a/crates/controller/src/fleet/scale_plan.rs
+++ b/crates/controller/src/fleet/scale_plan.rs
@@ -257,7 +257,7 @@
                 _ => capacity.add_instance(now, *id, instance, machine_types, scheduler),
             }
         }
-        for rental in &self.rentals.open {
+        for rental in self.rentals.promising() {
             capacity.add_requested(rental, machine_types);
         }
         for entry in &self.rentals.inherited {
