Requests of an earlier leader are room in their zone

Without this a new leader rented a second machine for a job bound to a zone while the list did not show the first. Test: bound_job_machine_requested_by_ended_leader failed before (two machines).

--- a/crates/controller/src/fleet/scale_plan.rs
+++ b/crates/controller/src/fleet/scale_plan.rs
@@ -1,6 +1,7 @@
 //! Compares the existing machines of each class with the target capacity.
 
 use super::instance::{Instance, InstanceStatus};
+use super::rental_record::RentalEntry;
 use super::rentals::Rental;
 use super::term::{listing_delay_s, LeaderTerm};
 use super::TickContext;
@@ -111,6 +112,27 @@
         }
     }
 
+    /// Adds machines that an earlier leader requested. They may be in the inventory as well, so
+    /// their CPUs are not counted again.
+    fn add_inherited(&mut self, entry: &RentalEntry, machine_types: &[MachineType]) {
+        let index = machine_types
+            .iter()
+            .position(|t| t.label == entry.machine_type);
+        let Some((index, machine_type)) = index.and_then(|i| Some((i, machine_types.get(i)?)))
+        else {
+            return;
+        };
+        let class = MachineClass {
+            machine_type: index,
+            spot: entry.spot,
+        };
+        self.add_machines(class, &entry.zone, entry.count);
+        for _ in 0..entry.count {
+            let vacancy = Vacancy::whole(machine_type);
+            self.supply.add_machine(class, &entry.zone, vacancy, []);
+        }
+    }
+
     /// Adds machines that are requested and not yet granted.
     fn add_requested(&mut self, rental: &Rental, machine_types: &[MachineType]) {
         let (class, count) = (rental.class(), rental.entry.count);
@@ -261,16 +283,7 @@
             capacity.add_requested(rental, machine_types);
         }
         for entry in &self.rentals.inherited {
-            let machine_type = machine_types
-                .iter()
-                .position(|t| t.label == entry.machine_type);
-            if let Some(machine_type) = machine_type {
-                let class = MachineClass {
-                    machine_type,
-                    spot: entry.spot,
-                };
-                capacity.add_machines(class, &entry.zone, entry.count);
-            }
+            capacity.add_inherited(entry, machine_types);
         }
         capacity
     }
