--- a/crates/controller/src/capacity_planner/tests.rs
+++ b/crates/controller/src/capacity_planner/tests.rs
@@ -1,8 +1,9 @@
 use super::arrivals::Arrivals;
 use super::record::{PlannerRecord, StoredLoad, KEY, PREFIX};
+use super::shortfall::shortfall_cpus;
 use super::*;
-use crate::split::{MachineClass, Resources};
-use crate::supply::{FreePiece, Vacancy};
+use crate::split::{MachineClass, Market, RefusedMarkets, Resources};
+use crate::supply::{FreePiece, Supply, Vacancy};
 use beamhinge_core::wire;
 use std::collections::BTreeSet;
 
--- a/crates/controller/src/fleet/admin_views.rs
+++ b/crates/controller/src/fleet/admin_views.rs
@@ -1,8 +1,8 @@
 //! Views of the fleet in the admin API: existing and booting machines, the capacity planner's
 //! parameters, and the reasons why a pending job has no machines that it could use.
 
+use super::capacity::BOOT_TIME_FACTOR;
 use super::instance::{Instance, InstanceStatus};
-use super::scale_plan::BOOT_TIME_FACTOR;
 use super::term::LeaderTerm;
 use super::Fleet;
 use crate::eligibility::{Constraints, Site};
--- a/crates/controller/src/fleet/mod.rs
+++ b/crates/controller/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! | `inventory` | machine inventory, read from the cloud's list |
 //! | `machine_health` | detects failed, unbooted, unlisted and unreachable machines |
 //! | `rentals`, `rental_record` | open and recent rentals, and their stored record |
+//! | `capacity` | counts the machines that exist, boot or are requested |
 //! | `scale_plan` | compares existing capacity with target capacity |
 //! | `plan_report` | why no machine is rented for a pending job |
 //! | `scale_out`, `scale_in` | request and release machines |
@@ -35,6 +36,7 @@
 use term::LeaderTerm;
 
 mod admin_views;
+mod capacity;
 mod cloud_calls;
 mod cloud_protocol;
 mod instance;
