Planner: demand is merged as a group; only work that may use spot machines counts as unserved

A job that may not use them is rented for by its own target, so it got one machine more than it needed where spot is refused.

--- a/crates/controller/src/capacity_planner.rs
+++ b/crates/controller/src/capacity_planner.rs
@@ -29,6 +29,7 @@
 use beamhinge_admin_api::reasons::Reason;
 use beamhinge_core::settings::{OperatorSettings, Settings};
 use beamhinge_core::types::{FencingToken, JobId, Time};
+use coverage::{Group, GroupKey};
 use persistence::RecordSync;
 use plan::{tasks_per_machine, Plan};
 pub use plan::{CapacityTargets, PlanInputs, TargetCapacity, ZonalTarget};
@@ -387,7 +388,17 @@
             if wanted > open && !arrivals.has_ended(plan.now) {
                 let machines = (wanted - open) / tasks_per_machine(choice);
                 plan.target(choice.machine_type).standby += machines;
-                plan.add_to_group(demand, choice, &ZoneScope::Any, true, (machines, 0.0));
+                let resources = demand.resources;
+                let (index, zones) = (choice.machine_type, ZoneScope::Any);
+                plan.merge_group(
+                    GroupKey::new(index, &zones, demand.spot, true, &resources),
+                    Group {
+                        resources,
+                        fit: tasks_per_machine(choice),
+                        machines,
+                        timely: 0.0,
+                    },
+                );
             }
         }
     }
--- a/crates/controller/src/capacity_planner/coverage.rs
+++ b/crates/controller/src/capacity_planner/coverage.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 
 /// Fractions of a machine below this are rounding errors.
-const MIN_FRACTION: f64 = 1e-6;
+pub(super) const MIN_FRACTION: f64 = 1e-6;
 
 /// Demand is merged into one group if it agrees in this key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/controller/src/capacity_planner/plan.rs
+++ b/crates/controller/src/capacity_planner/plan.rs
@@ -1,7 +1,7 @@
 //! One planning run: collects the demand of all jobs, compares it with the supply and computes the
 //! target capacity.
 
-use super::coverage::{self, Coverage, Group, GroupCoverage, GroupKey};
+use super::coverage::{self, Coverage, Group, GroupCoverage, GroupKey, MIN_FRACTION};
 use super::shortfall::{shortfall_cpus, QueueRank, QueuedTasks};
 use crate::eligibility::ZoneScope;
 use crate::split::{self, Demand, MachineType, Market, RefusedMarkets, TypeChoice};
@@ -27,7 +27,8 @@
     pub shortfall: f64,
     /// Capacity for jobs that may not run on spot machines.
     pub on_demand: f64,
-    /// Whether some job waits that no machine admits: one that exists, boots or is requested.
+    /// Whether no machine that exists, boots or is requested admits some job that may run on spot
+    /// machines.
     pub unserved: bool,
 }
 
@@ -175,29 +176,26 @@
         } else {
             target.on_demand += machines;
         }
-        self.add_to_group(demand, choice, zones, false, (machines, timely));
-    }
-
-    /// Adds demand to its group, in machines: all of it, and its timely part.
-    pub(super) fn add_to_group(
-        &mut self,
-        demand: &Demand,
-        choice: TypeChoice,
-        zones: &ZoneScope,
-        standby: bool,
-        (machines, timely): (f64, f64),
-    ) {
         let resources = demand.resources;
-        let (index, spot) = (choice.machine_type, demand.spot);
-        let key = GroupKey::new(index, zones, spot, standby, &resources);
-        let group = self.groups.entry(key).or_insert(Group {
+        let key = GroupKey::new(choice.machine_type, zones, demand.spot, false, &resources);
+        let group = Group {
             resources,
             fit: tasks_per_machine(choice),
+            machines,
+            timely,
+        };
+        self.merge_group(key, group);
+    }
+
+    /// Adds demand to the group with the same key.
+    pub(super) fn merge_group(&mut self, key: GroupKey, group: Group) {
+        let merged = self.groups.entry(key).or_insert(Group {
             machines: 0.0,
             timely: 0.0,
+            ..group
         });
-        group.machines += machines;
-        group.timely += timely;
+        merged.machines += group.machines;
+        merged.timely += group.timely;
     }
 
     /// Adds a job without a deadline: it needs capacity for all its tasks, in order of arrival.
@@ -303,7 +301,7 @@
     group: &Group,
     covered: &GroupCoverage,
 ) {
-    missing.unserved |= group.machines > 0.0 && !covered.has_room;
+    missing.unserved |= key.spot && group.machines > 0.0 && !covered.has_room;
     if key.zones == ZoneScope::Any {
         return;
     }
@@ -320,7 +318,10 @@
     let mut needed = BTreeMap::new();
     for ((class, zone), machines) in &coverage.needed_in_zone {
         if let Some(zone) = supply.zones().get(*zone) {
-            needed.insert(Market::new(*class, zone), machines.ceil() as u32);
+            needed.insert(
+                Market::new(*class, zone),
+                (machines - MIN_FRACTION).ceil() as u32,
+            );
         }
     }
     needed
