--- a/crates/controller/src/capacity_planner/tests.rs
+++ b/crates/controller/src/capacity_planner/tests.rs
@@ -311,6 +311,7 @@
     assert!(missing.missing.unserved && (missing.missing.spot - 1.0).abs() < 1e-6);
     let no_spot = plan(&[job(&only("north"), false)], &supply, &types);
     assert!((no_spot.zonal[0].missing.on_demand - 1.0).abs() < 1e-6);
+    assert!(!no_spot.zonal[0].missing.unserved, "one machine, not two");
 }
 
 /// Guards against a task that is never run: the parts that services leave free on several machines
--- a/crates/controller/src/fleet/plan_report.rs
+++ b/crates/controller/src/fleet/plan_report.rs
@@ -4,6 +4,7 @@
 use super::admin_views::Requirements;
 use super::term::LeaderTerm;
 use super::TickContext;
+use crate::eligibility::ZoneScope;
 use crate::scheduler::Scheduler;
 use crate::split::{self, Demand, MachineClass, MachineType, Market};
 use crate::supply::{RoomQuery, Supply};
@@ -126,9 +127,11 @@
         scheduler: &Scheduler,
     ) {
         let now = context.now;
+        let mut searches = RoomSearches::default();
         let mut unserved: Vec<&Demand> = demands
             .iter()
-            .filter(|demand| demand.waiting() > 0 && !has_room(demand, supply, machine_types))
+            .filter(|demand| demand.waiting() > 0)
+            .filter(|demand| !searches.has_room(demand, supply, machine_types))
             .collect();
         self.report.jobs_without_machine = unserved.len();
         if now.since(self.report.logged_at) < REPORT_INTERVAL_S {
@@ -161,18 +164,48 @@
     }
 }
 
-/// Whether the scheduler may place a waiting task of the job on a machine that exists, boots or is
-/// requested, now or after tasks have ended that do not last.
-fn has_room(demand: &Demand, supply: &Supply, machine_types: &[MachineType]) -> bool {
-    (0..machine_types.len()).any(|machine_type| {
-        let fits = machine_types
-            .get(machine_type)
-            .is_some_and(|t| demand.fit(t) > 0);
-        fits && supply.has_room(&RoomQuery {
-            machine_type,
-            zones: &demand.zones,
-            spot: demand.spot,
-            resources: &demand.resources,
+/// What a search for room depends on: zones, whether spot machines are tolerated, resources of one
+/// task in thousandths, and labels of the machine types.
+type RoomSearchKey = (ZoneScope, bool, [u64; 3], Option<Vec<String>>);
+
+/// Results of searches for room, so that the rooms are searched once for jobs that are alike.
+#[derive(Default)]
+struct RoomSearches(BTreeMap<RoomSearchKey, bool>);
+
+impl RoomSearches {
+    /// Whether the scheduler may place a waiting task of the job on a machine that exists, boots
+    /// or is requested, now or after tasks have ended that do not last.
+    fn has_room(
+        &mut self,
+        demand: &Demand,
+        supply: &Supply,
+        machine_types: &[MachineType],
+    ) -> bool {
+        let resources = &demand.resources;
+        let key = (
+            demand.zones.clone(),
+            demand.spot,
+            [resources.cpus, resources.gpus, resources.memory_gb].map(|x| (x * 1e3) as u64),
+            demand.machine_types.clone(),
+        );
+        *self
+            .0
+            .entry(key)
+            .or_insert_with(|| search_room(demand, supply, machine_types))
+    }
+}
+
+fn search_room(demand: &Demand, supply: &Supply, machine_types: &[MachineType]) -> bool {
+    machine_types
+        .iter()
+        .enumerate()
+        .filter(|(_, machine_type)| demand.fit(machine_type) > 0)
+        .any(|(machine_type, _)| {
+            supply.has_room(&RoomQuery {
+                machine_type,
+                zones: &demand.zones,
+                spot: demand.spot,
+                resources: &demand.resources,
+            })
         })
-    })
 }
